--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# make demo       installs what is missing, builds, runs the main job
+# make test       the same, runs all tests
+# make bench      all benchmarks with their bounds; bench-quick in under 50 s
+# make capacity   slopes at several sizes, and the table of docs/CAPACITY.md
+# make format     rewrites the sources in the project's format
+# make lint       checks format and names
+
+BUILD := build
+PACKAGES := $(shell grep -v '^\#' packages.txt)
+
+.PHONY: all deps build demo test bench bench-quick capacity format lint
+
+all: build
+
+# Installs only what is not there, so a second run does nothing.
+deps:
+	@missing=""; for p in $(PACKAGES); do \
+	  dpkg -s $$p >/dev/null 2>&1 || missing="$$missing $$p"; done; \
+	if [ -n "$$missing" ]; then echo "installing$$missing"; \
+	  apt-get update -qq && apt-get install -y -qq --no-install-recommends $$missing \
+	    >/dev/null; fi
+
+build: deps
+	@cmake -G Ninja -S . -B $(BUILD) >/dev/null
+	@cmake --build $(BUILD)
+
+demo: build
+	@tools/demo.sh $(BUILD)
+
+test: build
+	@cd $(BUILD) && ctest --output-on-failure
+
+bench: build
+	@tools/bench.py --build $(BUILD)
+
+bench-quick: build
+	@tools/bench.py --build $(BUILD) --quick
+
+capacity: build
+	@tools/bench.py --build $(BUILD) --capacity
+
+format:
+	@git ls-files '*.cc' '*.h' | xargs clang-format -i
+
+lint: build
+	@git ls-files '*.cc' '*.h' | xargs clang-format --dry-run --Werror
+	@git ls-files 'tray/*.cc' | grep -v -E 'testing/|bench/' | xargs -P 6 -n 2 \
+	  clang-tidy -p $(BUILD) --quiet 2>/dev/null
--- /dev/null
+++ b/tray/admit.cc
@@ -0,0 +1,83 @@
+// Admission of queries. See admit.h.
+
+#include "tray/admit.h"
+
+#include <algorithm>
+
+#include "tray/hash.h"
+
+namespace baobabtray {
+namespace {
+
+int WeightOf(const text& t, int customer) {
+  return customer < 0 ? 1 : t.customers[customer].weight;
+}
+
+// Queries that a customer may have in hand once the host is half full.
+int PartOf(const admission_state& state, const text& t, int customer) {
+  int all = 1;  // those without a customer share one part
+  for (const auto& c : t.customers) all += c.weight;
+  return std::max(1, state.most * WeightOf(t, customer) / all);
+}
+
+// Requests that this host may have in flight for the shard, over its replicas.
+int WindowOf(const fleet& f, const shard_group& group, micros now) {
+  int window = 0;
+  for (int server : group.servers) {
+    if (!IsInService(f, server)) continue;
+    const server_window& w = f.servers[server].window;
+    window += w.in_flight + RoomOf(w, now);
+  }
+  return window;
+}
+
+}  // namespace
+
+micros ExpectedShardTime(const routing& r, const shard_group& group,
+                         priority rank, micros now) {
+  const fleet& f = r.servers;
+  const latency_track& latency = f.services[group.service].latency;
+  micros usual = MedianOf(latency, 0);
+  if (r.waiting.size == 0) return usual;
+  shard_key key = ShardKey(f.in_force->service_hashes[group.service],
+                           group.shard);
+  int ahead = WaitersAhead(r.waiting, key, rank);
+  if (ahead == 0) return usual;
+  int window = WindowOf(f, group, now);
+  // Without a window of its own, the host hands over and can't tell.
+  if (window == 0) return usual;
+  return usual + usual * ahead / window;
+}
+
+admission Admit(const routing& r, const admission_state& state, int service,
+                priority rank, micros left, micros now) {
+  if (state.draining) return admission::kDraining;
+  if (state.in_hand >= state.most) return admission::kHostFull;
+  const view& v = *r.servers.in_force;
+  if (2 * state.in_hand > state.most) {
+    int customer = v.customer_of[service];
+    auto found = state.by_customer.find(customer);
+    int in_hand = found == state.by_customer.end() ? 0 : found->second;
+    if (in_hand >= PartOf(state, *v.config, customer)) {
+      return admission::kCustomerFull;
+    }
+  }
+  for (int group : v.plans[service]) {
+    if (ExpectedShardTime(r, v.groups[group], rank, now) > left) {
+      return admission::kTooLate;
+    }
+  }
+  return admission::kAccepted;
+}
+
+void Enter(admission_state* state, int customer) {
+  ++state->in_hand;
+  ++state->by_customer[customer];
+}
+
+void Leave(admission_state* state, int customer) {
+  --state->in_hand;
+  --state->by_customer[customer];
+}
+
+}  // namespace baobabtray
--- /dev/null
+++ b/tray/backend_wire.cc
@@ -0,0 +1,141 @@
+// Headers and health reports of backend servers. See backend_wire.h.
+
+#include "tray/backend_wire.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "tray/strings.h"
+
+namespace baobabtray {
+namespace {
+
+constexpr size_t kMaxVersions = 64;
+
+// The stamp of a reply, if it carries one.
+std::optional<server_report> ReportFrom(const fetch_result& reply) {
+  auto boot = ParseNumber<uint64_t>(HeaderOf(reply, "X-Boot-Id"));
+  auto uptime = ParseNumber<uint64_t>(HeaderOf(reply, "X-Uptime-Ms"));
+  auto state = ValueOf(kReportedStateNames, HeaderOf(reply, "X-State"));
+  if (!boot || !uptime || !state) return std::nullopt;
+  return server_report{
+      .stamp = {.boot = *boot, .uptime_ms = *uptime},
+      .state = *state,
+      .cold_limit =
+          ParseNumber<int>(HeaderOf(reply, "X-Cold-Limit")).value_or(0),
+      .load = ParseNumber<int>(HeaderOf(reply, "X-Load")).value_or(0)};
+}
+
+attempt_end EndOf(const fetch_result& reply) {
+  switch (reply.fault) {
+    case fetch_fault::kNone:
+      break;
+    case fetch_fault::kNotSent:
+      return attempt_end::kNotSent;
+    case fetch_fault::kBroken:
+      return attempt_end::kBroken;
+    case fetch_fault::kTimedOut:
+      return attempt_end::kTimedOut;
+    case fetch_fault::kCrossed:
+      return attempt_end::kCrossed;
+  }
+  if (reply.status == 200) return attempt_end::kAnswered;
+  if (HeaderOf(reply, kNotRunHeader).empty()) return attempt_end::kFailed;
+  return reply.status == 409 ? attempt_end::kVersionGone
+                             : attempt_end::kRefused;
+}
+
+}  // namespace
+
+std::vector<std::string> ToHeaders(const shard_request& r) {
+  return {fmt::format("X-Service: {}", r.service),
+          fmt::format("X-Shard: {}", r.shard),
+          fmt::format("X-Index-Version: {}", r.version),
+          fmt::format("X-Priority: {}", NameOf(kPriorityNames, r.rank)),
+          fmt::format("X-Idempotent: {}", r.idempotent ? 1 : 0),
+          fmt::format("X-Deadline-Ms: {}", r.deadline / kMillisecond)};
+}
+
+absl::StatusOr<shard_request> ShardRequestFrom(const http_request& r) {
+  auto shard = ParseNumber<int>(HeaderOf(r, "x-shard"));
+  auto version = ParseNumber<uint64_t>(HeaderOf(r, "x-index-version"));
+  auto rank = ValueOf(kPriorityNames, HeaderOf(r, "x-priority"));
+  auto deadline = ParseNumber<int64_t>(HeaderOf(r, "x-deadline-ms"));
+  std::string_view idempotent = HeaderOf(r, "x-idempotent");
+  if (!shard || !version || !rank || !deadline || idempotent.empty()) {
+    return absl::InvalidArgumentError("a header is missing or malformed");
+  }
+  return shard_request{.service = std::string(HeaderOf(r, "x-service")),
+                       .shard = *shard,
+                       .version = *version,
+                       .rank = *rank,
+                       .idempotent = idempotent != "0",
+                       .deadline = *deadline * kMillisecond};
+}
+
+attempt_result ResultFrom(fetch_result reply) {
+  attempt_result result;
+  result.end = EndOf(reply);
+  if (std::optional<server_report> report = ReportFrom(reply)) {
+    result.has_report = true;
+    result.report = *report;
+  }
+  result.version =
+      ParseNumber<uint64_t>(HeaderOf(reply, "X-Index-Version")).value_or(0);
+  result.newest =
+      ParseNumber<uint64_t>(HeaderOf(reply, "X-Newest-Version")).value_or(0);
+  if (result.end != attempt_end::kAnswered) return result;
+  // The body goes into the answer as it is, so it must be whole JSON.
+  if (!result.has_report || !nlohmann::json::accept(reply.body)) {
+    result.end = attempt_end::kFailed;
+    return result;
+  }
+  result.body = std::move(reply.body);
+  return result;
+}
+
+std::vector<std::pair<std::string, std::string>> ReportHeaders(
+    std::string_view server, uint64_t version, const server_report& report) {
+  return {{std::string(kServerHeader), std::string(server)},
+          {"X-Index-Version", std::to_string(version)},
+          {"X-Boot-Id", std::to_string(report.stamp.boot)},
+          {"X-Uptime-Ms", std::to_string(report.stamp.uptime_ms)},
+          {"X-State", std::string(NameOf(kReportedStateNames, report.state))},
+          {"X-Cold-Limit", std::to_string(report.cold_limit)},
+          {"X-Load", std::to_string(report.load)}};
+}
+
+absl::StatusOr<health_report> ParseHealth(std::string_view text) {
+  nlohmann::json j = nlohmann::json::parse(text, nullptr, false);
+  health_report h;
+  try {
+    j.at("boot").get_to(h.report.stamp.boot);
+    j.at("uptime_ms").get_to(h.report.stamp.uptime_ms);
+    auto state =
+        ValueOf(kReportedStateNames, j.at("state").get<std::string>());
+    if (!state) return absl::DataLossError("unknown state");
+    h.report.state = *state;
+    h.report.cold_limit = j.value("cold_limit", 0);
+    h.report.load = j.value("load", 0);
+    for (const auto& v : j.at("versions")) {
+      version_report report{.version = v.at("version"), .total = v.at("total")};
+      v.at("shards").get_to(report.shards);
+      std::sort(report.shards.begin(), report.shards.end());
+      bool sound = report.total > 0 && report.total <= kMaxShardsPerService &&
+                   (report.shards.empty() ||
+                    (report.shards.front() >= 0 &&
+                     report.shards.back() < report.total));
+      if (!sound || h.versions.size() >= kMaxVersions) {
+        return absl::DataLossError("versions out of bounds");
+      }
+      h.versions.push_back(std::move(report));
+    }
+  } catch (const nlohmann::json::exception&) {
+    return absl::DataLossError("not a health report");
+  }
+  return h;
+}
+
+}  // namespace baobabtray
--- /dev/null
+++ b/tray/choose.cc
@@ -0,0 +1,178 @@
+// Replica choice. See choose.h.
+
+#include "tray/choose.h"
+
+#include <algorithm>
+#include <array>
+
+namespace baobabtray {
+namespace {
+
+// Replicas considered for one shard; further ones are ignored.
+constexpr size_t kMaxCandidates = 64;
+
+struct candidate_list {
+  std::array<int, kMaxCandidates> servers;
+  size_t size = 0;
+
+  void Add(int server) {
+    if (size < kMaxCandidates) servers[size++] = server;
+  }
+  std::span<const int> all() const { return {servers.data(), size}; }
+};
+
+// Mixes the request's random bits for the n-th draw.
+uint64_t Draw(uint64_t random, uint64_t n) {
+  uint64_t x = random + (n + 1) * 0x9E3779B97F4A7C15ULL;
+  x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9ULL;
+  return x ^ (x >> 27);
+}
+
+// Expected time until the server would answer one more request, from its running
+// mean and what is in hand there, per slot.
+double ExpectedWait(const fleet& f, int server) {
+  const server_state& s = f.servers[server];
+  int slots = f.in_force->config->servers[server].slots;
+  int in_hand = std::max(s.load, s.window.in_flight);
+  return static_cast<double>(s.trace) * (slots + in_hand) / slots;
+}
+
+// Candidates of the nearest tier that has any.
+candidate_list NearestTier(const fleet& f, const candidate_list& from) {
+  distance nearest = distance::kFar;
+  for (int s : from.all()) nearest = std::min(nearest, f.servers[s].away);
+  candidate_list tier;
+  for (int s : from.all()) {
+    if (f.servers[s].away == nearest) tier.Add(s);
+  }
+  return tier;
+}
+
+int PickTwoChoices(const fleet& f, const candidate_list& from,
+                   uint64_t random) {
+  candidate_list tier = NearestTier(f, from);
+  int a = tier.servers[Draw(random, 0) % tier.size];
+  int b = tier.servers[Draw(random, 1) % tier.size];
+  auto load = [&](int s) {
+    return std::max(f.servers[s].load, f.servers[s].window.in_flight);
+  };
+  return load(b) < load(a) ? b : a;
+}
+
+// Smallest cost; equal costs are decided by the random bits, so that hosts with
+// the same view do not all pick the same server.
+template <typename Cost>
+int PickCheapest(const candidate_list& from, uint64_t random, Cost cost) {
+  int best = -1;
+  double best_cost = 0;
+  uint64_t best_draw = 0;
+  for (int s : from.all()) {
+    double c = cost(s);
+    uint64_t draw = Draw(random, s);
+    if (best < 0 || c < best_cost || (c == best_cost && draw < best_draw)) {
+      best = s;
+      best_cost = c;
+      best_draw = draw;
+    }
+  }
+  return best;
+}
+
+int Pick(const fleet& f, choice_mode mode, const candidate_list& from,
+         const choice_request& request) {
+  switch (mode) {
+    case choice_mode::kTwoChoices:
+      return PickTwoChoices(f, from, request.random);
+    case choice_mode::kLeastWait:
+      return PickCheapest(from, request.random,
+                          [&](int s) { return ExpectedWait(f, s); });
+    case choice_mode::kTraceTable:
+      break;
+  }
+  auto mean = [&](int s) { return static_cast<double>(f.servers[s].trace); };
+  if (request.rank == priority::kUrgent) {
+    return PickCheapest(from, request.random, mean);
+  }
+  return PickCheapest(NearestTier(f, from), request.random, mean);
+}
+
+// The owner a request for `server` is handed to: one that may send to it now.
+int PickOwner(const fleet& f, int server, const choice_request& request) {
+  const server_state& s = f.servers[server];
+  int owners = static_cast<int>(s.owner_hosts.size());
+  if (owners == 0) return -1;
+  bool cold = s.window.phase == window_phase::kCold ||
+              s.window.phase == window_phase::kHeld;
+  // While cold only the first `cold_limit` ranks hold a share.
+  int able = cold ? std::min(owners, std::max(1, s.window.cold_limit)) : owners;
+  int host = s.owner_hosts[Draw(request.random, 7) % able];
+  return host == f.self ? -1 : host;
+}
+
+bool HasNoShare(const server_state& s, micros now) {
+  switch (s.window.phase) {
+    case window_phase::kCold:
+    case window_phase::kHeld:
+      return ColdShare(s.window, now) == 0;
+    default:
+      return ConnectionShare(s) == 0;
+  }
+}
+
+}  // namespace
+
+bool HoldsShard(const server_state& s, uint64_t version, int shard) {
+  for (const version_report& v : s.versions) {
+    if (v.version != version) continue;
+    return std::binary_search(v.shards.begin(), v.shards.end(), shard);
+  }
+  return false;
+}
+
+choice ChooseReplica(const fleet& f, choice_mode mode,
+                     const choice_request& request) {
+  const service& owner = f.in_force->config->services[request.service];
+  candidate_list with_room, without_share;
+  bool in_service = false, holds = false, may_wait = false;
+  for (int server : owner.servers) {
+    if (!IsInService(f, server)) continue;
+    in_service = true;
+    const server_state& s = f.servers[server];
+    if (!HoldsShard(s, request.version, request.shard)) continue;
+    holds = true;
+    if (std::find(request.asked.begin(), request.asked.end(), server) !=
+        request.asked.end()) {
+      continue;
+    }
+    if (request.hedge && s.window.phase != window_phase::kWarm) continue;
+    if (RoomOf(s.window, request.now) > 0) {
+      with_room.Add(server);
+    } else if (HasNoShare(s, request.now)) {
+      without_share.Add(server);
+    } else {
+      may_wait = true;
+    }
+  }
+  if (with_room.size > 0) {
+    return {.kind = choice_kind::kDirect,
+            .server = Pick(f, mode, with_room, request)};
+  }
+  if (!may_wait && request.may_hand_over && without_share.size > 0) {
+    int server = Pick(f, mode, without_share, request);
+    int host = PickOwner(f, server, request);
+    if (host >= 0) {
+      return {.kind = choice_kind::kHandOver, .server = server, .host = host};
+    }
+  }
+  if (may_wait) return {.kind = choice_kind::kWait};
+  if (without_share.size > 0) {
+    // A peer's request that this host can't serve either goes back at once.
+    if (!request.may_hand_over) return {.reason = miss_reason::kRefused};
+    return {.kind = choice_kind::kWait};
+  }
+  if (!in_service) return {.reason = miss_reason::kOutOfService};
+  if (!holds) return {.reason = miss_reason::kVersionGone};
+  return {.reason = miss_reason::kUnreachable};
+}
+
+}  // namespace baobabtray
--- /dev/null
+++ b/tray/config.cc
@@ -0,0 +1,74 @@
+// The stored configuration as JSON. See config.h.
+
+#include "tray/config.h"
+
+#include <nlohmann/json.hpp>
+
+namespace baobabtray {
+namespace {
+
+using nlohmann::json;
+
+json ToJson(const edit_record& e) {
+  return {{"revision", e.revision},
+          {"id", e.id},
+          {"by", e.by},
+          {"kind", NameOf(kEditKindNames, e.kind)},
+          {"detail", e.detail},
+          {"at_ms", e.at_ms}};
+}
+
+edit_record EditFromJson(const json& j) {
+  edit_record e;
+  j.at("revision").get_to(e.revision);
+  j.at("id").get_to(e.id);
+  j.at("by").get_to(e.by);
+  e.kind = ValueOf(kEditKindNames, j.at("kind").get<std::string>())
+               .value_or(edit_kind::kApply);
+  j.at("detail").get_to(e.detail);
+  j.at("at_ms").get_to(e.at_ms);
+  return e;
+}
+
+}  // namespace
+
+std::string DumpConfig(const config& c) {
+  json out = json::array(), recent = json::array();
+  for (const place& p : c.out) {
+    out.push_back({{"kind", NameOf(kPlaceKindNames, p.kind)}, {"name", p.name}});
+  }
+  for (const edit_record& e : c.recent) recent.push_back(ToJson(e));
+  return json{{"revision", c.revision},
+              {"out", out},
+              {"recent", recent},
+              {"text", c.text}}
+      .dump();
+}
+
+absl::StatusOr<config> ParseConfig(std::string_view text) {
+  json j = json::parse(text, nullptr, false);
+  config c;
+  try {
+    j.at("revision").get_to(c.revision);
+    j.at("text").get_to(c.text);
+    for (const json& p : j.at("out")) {
+      auto kind = ValueOf(kPlaceKindNames, p.at("kind").get<std::string>());
+      if (!kind) return absl::DataLossError("unknown kind of place");
+      c.out.push_back({*kind, p.at("name")});
+    }
+    for (const json& e : j.at("recent")) c.recent.push_back(EditFromJson(e));
+  } catch (const json::exception&) {
+    return absl::DataLossError("the value is not a configuration");
+  }
+  if (c.revision <= 0) return absl::DataLossError("the revision is not positive");
+  return c;
+}
+
+const edit_record* FindEdit(const config& c, std::string_view id) {
+  for (const edit_record& e : c.recent) {
+    if (e.id == id) return &e;
+  }
+  return nullptr;
+}
+
+}  // namespace baobabtray
--- /dev/null
+++ b/tray/daemon_main.cc
@@ -0,0 +1,125 @@
+// baobabtrayd, the daemon of one entry host.
+//
+//   baobabtrayd --settings FILE [--check]
+
+#include <fmt/format.h>
+#include <signal.h>
+#include <tclap/CmdLine.h>
+
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+#include <thread>
+
+#include "tray/control.h"
+#include "tray/engine.h"
+#include "tray/log.h"
+#include "tray/settings.h"
+#include "tray/strings.h"
+#include "tray/traffic.h"
+
+namespace baobabtray {
+namespace {
+
+// Exit codes, as docs/operators/daemon.md lists them.
+enum exit_code { kOk = 0, kBadSettings = 2, kCannotStart = 3 };
+
+absl::StatusOr<std::string> ReadFile(const std::string& path) {
+  std::ifstream in(path);
+  if (!in) return absl::NotFoundError("can't read '" + path + "'");
+  std::stringstream content;
+  content << in.rdbuf();
+  return content.str();
+}
+
+absl::StatusOr<settings> LoadSettings(const std::string& path) {
+  absl::StatusOr<std::string> yaml = ReadFile(path);
+  if (!yaml.ok()) return yaml.status();
+  absl::StatusOr<settings> own = ParseSettings(*yaml);
+  if (!own.ok()) return own.status();
+  for (const std::string& file :
+       {own->admin_token_file, own->peer_secret_file}) {
+    if (!file.empty() && !std::ifstream(file)) {
+      return absl::NotFoundError("can't read '" + file + "'");
+    }
+  }
+  return own;
+}
+
+absl::Status Serve(settings own) {
+  auto shared = std::make_unique<engine>();
+  shared->own = own;
+  shared->here = {own.data_centre, own.region};
+  std::random_device seed;
+  shared->r.random.seed((uint64_t{seed()} << 32) | seed());
+  shared->id_prefix = fmt::format("{:016x}", shared->r.random());
+  shared->r.choice = own.choice;
+  shared->r.hedging = own.hedging;
+  if (!own.peer_secret_file.empty()) {
+    absl::StatusOr<std::string> secret = ReadFile(own.peer_secret_file);
+    if (!secret.ok()) return secret.status();
+    shared->peer_secret = secret->substr(0, secret->find('\n'));
+    if (shared->peer_secret.empty()) {
+      return absl::NotFoundError("the peer secret file is empty");
+    }
+  }
+  std::vector<std::unique_ptr<traffic_worker>> workers;
+  for (int i = 0; i < own.threads; ++i) {
+    workers.push_back(std::make_unique<traffic_worker>(shared.get(), i));
+    shared->workers.push_back(workers.back().get());
+  }
+  control main(shared.get());
+  if (absl::Status s = main.Listen(); !s.ok()) return s;
+  for (auto& w : workers) {
+    if (absl::Status s = w->Listen(); !s.ok()) return s;
+  }
+  Log(log_level::kInfo, "started",
+      {{"name", own.name},
+       {"callers", ToString(own.callers)},
+       {"peers", ToString(own.peers)},
+       {"admin", ToString(own.admin)},
+       {"version", BAOBABTRAY_VERSION}});
+  std::vector<std::thread> threads;
+  for (auto& w : workers) threads.emplace_back([&w] { w->Run(); });
+  main.Run();
+  for (auto& w : workers) w->Stop();
+  for (std::thread& t : threads) t.join();
+  return absl::OkStatus();
+}
+
+int Run(int argc, char** argv) {
+  TCLAP::CmdLine cmd("baobabtrayd: the daemon of one entry host", ' ',
+                     BAOBABTRAY_VERSION);
+  TCLAP::ValueArg<std::string> file("s", "settings", "settings file (YAML)",
+                                    true, "", "FILE", cmd);
+  TCLAP::SwitchArg check("", "check", "check the settings and exit", cmd);
+  cmd.parse(argc, argv);
+  absl::StatusOr<settings> own = LoadSettings(file.getValue());
+  if (!own.ok()) {
+    fmt::print(stderr, "{}:\n{}\n", file.getValue(), MessageOf(own.status()));
+    return kBadSettings;
+  }
+  if (check.getValue()) {
+    fmt::print("{}: ok\n", file.getValue());
+    return kOk;
+  }
+  SetLogLevel(own->level);
+  signal(SIGPIPE, SIG_IGN);
+  absl::Status end = Serve(*own);
+  if (end.ok()) return kOk;
+  Log(log_level::kError, "cannot_start", {{"reason", MessageOf(end)}});
+  return kCannotStart;
+}
+
+}  // namespace
+}  // namespace baobabtray
+
+int main(int argc, char** argv) {
+  try {
+    return baobabtray::Run(argc, argv);
+  } catch (const std::exception& e) {
+    std::cerr << e.what() << "\n";
+    return 3;
+  }
+}
--- /dev/null
+++ b/tray/delta.cc
@@ -0,0 +1,37 @@
+// Differences between texts. See delta.h.
+
+#include "tray/delta.h"
+
+#include <algorithm>
+
+#include "tray/hash.h"
+
+namespace baobabtray {
+
+text_delta DiffTexts(std::string_view from, std::string_view to) {
+  size_t most = std::min(from.size(), to.size());
+  auto begin = std::mismatch(from.begin(), from.begin() + most, to.begin());
+  size_t prefix = begin.first - from.begin();
+  size_t left = most - prefix;
+  auto end = std::mismatch(from.rbegin(), from.rbegin() + left, to.rbegin());
+  size_t suffix = end.first - from.rbegin();
+  return {.from = FingerprintOf(from),
+          .to = FingerprintOf(to),
+          .prefix = prefix,
+          .suffix = suffix,
+          .middle = std::string(
+              to.substr(prefix, to.size() - prefix - suffix))};
+}
+
+std::optional<std::string> ApplyDelta(std::string_view base,
+                                      const text_delta& delta) {
+  if (delta.prefix + delta.suffix > base.size()) return std::nullopt;
+  if (FingerprintOf(base) != delta.from) return std::nullopt;
+  std::string result(base.substr(0, delta.prefix));
+  result += delta.middle;
+  result += base.substr(base.size() - delta.suffix);
+  if (FingerprintOf(result) != delta.to) return std::nullopt;
+  return result;
+}
+
+}  // namespace baobabtray
--- /dev/null
+++ b/tray/health.cc
@@ -0,0 +1,82 @@
+// Health reports. See health.h.
+
+#include "tray/health.h"
+
+#include "tray/backend_wire.h"
+#include "tray/log.h"
+#include "tray/strings.h"
+
+namespace baobabtray {
+namespace {
+
+constexpr micros kTick = 50 * kMillisecond;
+constexpr size_t kPerTick = kMaxHealthPerSecond * kTick / kSecond;
+constexpr micros kHealthTimeout = 500 * kMillisecond;
+
+bool IsUrgent(const server_state& s) {
+  return s.versions.empty() || s.versions_stale ||
+         s.window.phase == window_phase::kHeld;
+}
+
+}  // namespace
+
+void health_poller::Tick() {
+  for (const poll& p : Due(SteadyNow())) Read(p);
+  After(c_, kTick, [this] { Tick(); });
+}
+
+std::vector<health_poller::poll> health_poller::Due(micros now) {
+  std::vector<poll> due;
+  std::lock_guard lock(c_.shared.mutex);
+  const fleet& f = c_.shared.r.servers;
+  if (f.in_force == nullptr) return due;
+  for (size_t i = 0; i < f.servers.size() && due.size() < kPerTick; ++i) {
+    const server_state& s = f.servers[i];
+    if (s.window.rank < 0) continue;
+    const backend_server& b = f.in_force->config->servers[i];
+    micros period = IsUrgent(s) ? kUrgentHealthPeriod : kHealthPeriod;
+    micros& read_at = read_at_[b.name];
+    if (read_at != 0 && now - read_at < period) continue;
+    read_at = now;
+    due.push_back({b.name, b.address});
+  }
+  return due;
+}
+
+void health_poller::Read(const poll& p) {
+  c_.http.SetConnections(p.address, 1);
+  c_.http.Start({.method = "GET",
+                 .to = p.address,
+                 .path = "/health",
+                 .timeout = kHealthTimeout,
+                 .fresh = true},
+                [this, server = p.server](fetch_result reply) {
+                  if (reply.fault != fetch_fault::kNone) return;
+                  c_.shared.counters.AddControlBytes(100, reply.body.size());
+                  Take(server, reply.body);
+                });
+}
+
+void health_poller::Take(const std::string& server, const std::string& body) {
+  absl::StatusOr<health_report> h = ParseHealth(body);
+  if (!h.ok()) {
+    Log(log_level::kWarning, "health_unreadable",
+        {{"server", server}, {"reason", MessageOf(h.status())}});
+    return;
+  }
+  micros now = SteadyNow();
+  std::lock_guard lock(c_.shared.mutex);
+  fleet& f = c_.shared.r.servers;
+  auto found = f.in_force->config->server_by_name.find(server);
+  if (found == f.in_force->config->server_by_name.end()) return;
+  server_state& s = f.servers[found->second];
+  s.heard_at = now;
+  if (h->report.stamp >= s.versions_stamp) {
+    s.versions = std::move(h->versions);
+    s.versions_stamp = h->report.stamp;
+    s.versions_stale = false;
+  }
+  OnReport(&s.window, report_source::kHealth, h->report, now);
+}
+
+}  // namespace baobabtray
--- /dev/null
+++ b/tray/metrics.h
@@ -0,0 +1,46 @@
+// Metrics of one daemon, by prometheus-cpp, rendered as text for /metrics.
+//
+// Counters of hot paths are looked up once and kept, since a look-up by labels
+// costs more than the decision that it counts. Safe from any thread.
+
+#ifndef TRAY_METRICS_H_
+#define TRAY_METRICS_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "tray/admit.h"
+#include "tray/query.h"
+#include "tray/time.h"
+
+namespace baobabtray {
+
+class metrics {
+ public:
+  metrics();
+  ~metrics();
+
+  void CountQuery(const std::string& service, query_outcome outcome,
+                  micros latency, int total, int answered);
+  void CountRefusal(const std::string& service, admission reason);
+  void CountAttempt(attempt_kind kind, attempt_end end);
+  void SetInFlight(int queries, int waiting);
+  void SetRevision(int64_t revision);
+  void SetHosts(int live);
+  void AddControlBytes(size_t sent, size_t received);
+  void CountStoreCall(std::string_view call, std::string_view fault);
+  // Processor time used so far by the control thread.
+  void SetControlSeconds(double seconds);
+
+  // Everything in the text exposition format.
+  std::string Render() const;
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace baobabtray
+
+#endif  // TRAY_METRICS_H_
--- /dev/null
+++ b/tray/peer_talk.cc
@@ -0,0 +1,200 @@
+// Digest exchange. See peer_talk.h.
+
+#include "tray/peer_talk.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <bit>
+
+#include "tray/log.h"
+#include "tray/serve.h"
+#include "tray/strings.h"
+
+namespace baobabtray {
+namespace {
+
+constexpr int kLeavingNotices = 4;
+
+// What replies have shown of a server, or nothing worth passing on.
+std::optional<reported_state> KnownState(const server_window& w) {
+  if (w.stamp.boot == 0) return std::nullopt;
+  switch (w.phase) {
+    case window_phase::kWarm:
+    case window_phase::kWarming:
+      return reported_state::kReady;
+    case window_phase::kCold:
+      return reported_state::kCold;
+    case window_phase::kLeaving:
+      return reported_state::kLeaving;
+    case window_phase::kHeld:
+      break;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+peer_talk::peer_talk(const control_context& c, membership* members,
+                     config_keeper* keeper)
+    : c_(c), members_(*members), keeper_(*keeper), own_seeds_(members->seeds) {}
+
+void peer_talk::Start() {
+  UpdateHosts();
+  ReadHostList();
+  for (const endpoint& seed : members_.seeds) {
+    if (seed != members_.self.peers) Exchange(seed);
+  }
+  Round();
+}
+
+void peer_talk::Round() {
+  Expire(&members_, SteadyNow());
+  UpdateHosts();
+  if (auto to = PickPeer(members_, &c_.random)) Exchange(*to);
+  After(c_, Jittered(c_, kDigestPeriod), [this] { Round(); });
+}
+
+void peer_talk::Exchange(const endpoint& to) {
+  SendToPeer(c_, to, "/peer/digest", DumpDigest(MakeDigest()),
+             [this, to](int status, std::string body) {
+               absl::StatusOr<digest> d = ParseDigest(body);
+               if (status == 200 && d.ok()) return TakeDigest(*d);
+               if (status != 0) return;
+               for (const auto& [name, k] : members_.others) {
+                 if (k.m.peers != to) continue;
+                 OnNoAnswer(&members_, name, SteadyNow());
+                 break;
+               }
+             });
+}
+
+digest peer_talk::MakeDigest() {
+  CollectEvidence();
+  digest d{.from = members_.self, .revision = keeper_.current().revision};
+  d.changes = TakeChanges(&members_);
+  for (auto& [server, told] : told_) {
+    if (told.sends_left <= 0) continue;
+    --told.sends_left;
+    d.evidence.push_back({.server = server,
+                          .stamp = told.stamp,
+                          .state = told.state,
+                          .versions = told.versions});
+    if (d.evidence.size() >= kReportsPerDigest) break;
+  }
+  return d;
+}
+
+void peer_talk::TakeDigest(const digest& d) {
+  micros now = SteadyNow();
+  OnContact(&members_, d.from, now);
+  for (const member& m : d.changes) MergeMember(&members_, m, now);
+  for (const evidence_item& item : d.evidence) TakeEvidence(item);
+  UpdateHosts();
+  keeper_.OnPeerRevision(d.from.peers, d.revision);
+}
+
+// Finds what has changed about backend servers since it was last passed on.
+void peer_talk::CollectEvidence() {
+  int sends = 3 * std::bit_width(members_.others.size() + 1);
+  std::lock_guard lock(c_.shared.mutex);
+  const fleet& f = c_.shared.r.servers;
+  if (f.in_force == nullptr) return;
+  for (size_t i = 0; i < f.servers.size(); ++i) {
+    const server_state& s = f.servers[i];
+    std::optional<reported_state> state = KnownState(s.window);
+    if (!state) continue;
+    told_report& told = told_[f.in_force->config->servers[i].name];
+    bool same = told.stamp.boot == s.window.stamp.boot &&
+                told.state == *state && told.versions == s.versions;
+    if (same) continue;
+    told = {.stamp = s.window.stamp,
+            .state = *state,
+            .versions = s.versions,
+            .sends_left = sends};
+  }
+}
+
+void peer_talk::TakeEvidence(const evidence_item& item) {
+  micros now = SteadyNow();
+  std::lock_guard lock(c_.shared.mutex);
+  fleet& f = c_.shared.r.servers;
+  if (f.in_force == nullptr) return;
+  auto found = f.in_force->config->server_by_name.find(item.server);
+  if (found == f.in_force->config->server_by_name.end()) return;
+  server_state& s = f.servers[found->second];
+  server_report report{.stamp = item.stamp,
+                       .state = item.state,
+                       .cold_limit = item.cold_limit};
+  OnReport(&s.window, report_source::kPeer, report, now);
+  if (item.stamp > s.versions_stamp && !item.versions.empty()) {
+    s.versions = item.versions;
+    s.versions_stamp = item.stamp;
+  }
+}
+
+// Puts a changed set of share holders in force.
+void peer_talk::UpdateHosts() {
+  micros now = SteadyNow();
+  std::vector<fleet_host> holders = ShareHolders(members_, now);
+  c_.shared.counters.SetHosts(static_cast<int>(LiveMembers(members_).size()));
+  if (holders == holders_) return;
+  holders_ = holders;
+  Log(log_level::kInfo, "hosts_changed",
+      {{"hosts", std::to_string(holders.size())}});
+  std::lock_guard lock(c_.shared.mutex);
+  AdoptHosts(&c_.shared.r.servers, std::move(holders), members_.self.name, now);
+}
+
+void peer_talk::ReadHostList() {
+  c_.store.ListHosts([this](std::vector<listed_host> hosts) {
+    if (!hosts.empty()) {
+      members_.seeds = own_seeds_;
+      for (const listed_host& h : hosts) {
+        if (!h.leaving) members_.seeds.push_back(h.peers);
+      }
+    }
+    After(c_, Jittered(c_, kHostListPeriod), [this] { ReadHostList(); });
+  });
+}
+
+void peer_talk::AnnounceLeaving() {
+  members_.self.status = member_status::kLeaving;
+  UpdateHosts();
+  for (const member& m : PickLive(members_, kLeavingNotices, &c_.random)) {
+    Exchange(m.peers);
+  }
+}
+
+void peer_talk::Handle(const std::string& path, const std::string& body,
+                       std::function<void(int, std::string)> reply) {
+  http_request request;
+  size_t question = path.find('?');
+  request.path = path.substr(0, question);
+  if (question != std::string::npos) request.query = path.substr(question + 1);
+  if (request.path == "/peer/digest") {
+    absl::StatusOr<digest> d = ParseDigest(body);
+    if (!d.ok()) {
+      Log(log_level::kWarning, "peer_refused",
+          {{"path", path}, {"reason", MessageOf(d.status())}});
+      return reply(400, "{}");
+    }
+    // Answer first: the changes just received need not go back.
+    reply(200, DumpDigest(MakeDigest()));
+    TakeDigest(*d);
+  } else if (request.path == "/peer/config") {
+    auto from = ParseEndpoint(QueryField(request, "from"));
+    bool taken = from.ok() && keeper_.OnRumour(*from, body);
+    reply(taken ? 200 : 400, "{}");
+  } else if (request.path == "/peer/fetch") {
+    auto have = ParseNumber<int64_t>(QueryField(request, "have"));
+    if (keeper_.current().revision == 0) return reply(404, "{}");
+    reply(200, keeper_.MessageFor(have.value_or(0)));
+  } else if (request.path == "/peer/revision") {
+    reply(200, fmt::format(R"({{"revision":{}}})", keeper_.current().revision));
+  } else {
+    reply(404, "{}");
+  }
+}
+
+}  // namespace baobabtray
--- /dev/null
+++ b/tray/serve.cc
@@ -0,0 +1,202 @@
+// RESTinio behind a narrow interface. See serve.h.
+
+#include "tray/serve.h"
+
+#include <fmt/format.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <asio.hpp>
+#include <cctype>
+#include <chrono>
+#include <restinio/all.hpp>
+
+#include "tray/log.h"
+
+namespace baobabtray {
+namespace {
+
+// RESTinio's own bounds end the connection without an answer; they lie beyond
+// ours, which answer clearly.
+constexpr size_t kHardBodyFactor = 16;
+constexpr size_t kHardHeadBytes = 256 << 10;
+constexpr size_t kHardFieldCount = 200;
+
+struct server_traits : public restinio::default_single_thread_traits_t {
+  static constexpr bool use_connection_count_limiter = true;
+};
+using restinio_server = restinio::http_server_t<server_traits>;
+using share_port_option =
+    asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+std::string Lower(std::string_view s) {
+  std::string lower(s);
+  for (char& c : lower) c = static_cast<char>(std::tolower(c));
+  return lower;
+}
+
+// Copies a request; returns the size of its head.
+size_t CopyRequest(const restinio::request_t& from, http_request* to) {
+  to->method = from.header().method().c_str();
+  auto path = from.header().path();
+  to->path.assign(path.data(), path.size());
+  auto query = from.header().query();
+  to->query.assign(query.data(), query.size());
+  to->body = from.body();
+  size_t head = to->path.size() + to->query.size();
+  from.header().for_each_field([&](const restinio::http_header_field_t& field) {
+    head += field.name().size() + field.value().size();
+    to->headers.emplace_back(Lower(field.name()), field.value());
+  });
+  return head;
+}
+
+void Respond(const restinio::request_handle_t& request,
+             http_response response) {
+  auto builder = request->create_response(restinio::http_status_line_t{
+      restinio::http_status_code_t{static_cast<uint16_t>(response.status)},
+      response.status < 400 ? "OK" : "Error"});
+  builder.append_header(restinio::http_field::content_type,
+                        std::move(response.content_type));
+  for (auto& [name, value] : response.headers) {
+    builder.append_header(std::move(name), std::move(value));
+  }
+  if (response.close) builder.connection_close();
+  builder.set_body(std::move(response.body));
+  builder.done();
+}
+
+http_response TooLarge(int status, std::string_view what, size_t bound) {
+  return {.status = status,
+          .body = fmt::format(R"({{"error":{{"code":"too_large","message":)"
+                              R"("{} is larger than {} bytes","outcome":)"
+                              R"("not_run"}}}})",
+                              what, bound),
+          .close = true};
+}
+
+}  // namespace
+
+std::string_view HeaderOf(const http_request& request, std::string_view name) {
+  for (const auto& [known, value] : request.headers) {
+    if (known == name) return value;
+  }
+  return "";
+}
+
+std::string_view QueryField(const http_request& request,
+                            std::string_view name) {
+  std::string_view rest = request.query;
+  while (!rest.empty()) {
+    std::string_view pair = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+    size_t equals = pair.find('=');
+    if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
+      return pair.substr(equals + 1);
+    }
+  }
+  return "";
+}
+
+class http_server::impl {
+ public:
+  impl(asio::io_context& loop, const serve_options& options,
+       http_handler handler)
+      : loop_(loop),
+        options_(options),
+        handler_(std::move(handler)),
+        server_(restinio::external_io_context(loop), Settings()) {}
+
+  void Open() { server_.open_sync(); }
+  void Close() {
+    if (open_) server_.close_sync();
+    open_ = false;
+  }
+
+ private:
+  restinio::server_settings_t<server_traits> Settings() {
+    restinio::server_settings_t<server_traits> s;
+    s.address(options_.listen.host)
+        .port(options_.listen.port)
+        .read_next_http_message_timelimit(
+            std::chrono::seconds(options_.message_seconds))
+        .handle_request_timeout(std::chrono::seconds(700))
+        .write_http_response_timelimit(std::chrono::seconds(30))
+        .max_parallel_connections(options_.max_connections)
+        .buffer_size(8 << 10)
+        .incoming_http_msg_limits(
+            restinio::incoming_http_msg_limits_t{}
+                .max_url_size(kHardHeadBytes)
+                .max_field_name_size(kHardHeadBytes)
+                .max_field_value_size(kHardHeadBytes)
+                .max_field_count(kHardFieldCount)
+                .max_body_size(kHardBodyFactor * options_.max_body))
+        .acceptor_options_setter([share = options_.share_port](auto& options) {
+          options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+          if (share) options.set_option(share_port_option(true));
+        })
+        .socket_options_setter([](auto& options) {
+          options.set_option(asio::ip::tcp::no_delay(true));
+        })
+        .request_handler([this](restinio::request_handle_t request) {
+          return Handle(std::move(request));
+        });
+    return s;
+  }
+
+  restinio::request_handling_status_t Handle(
+      restinio::request_handle_t request) {
+    http_request copy;
+    size_t head = CopyRequest(*request, &copy);
+    if (head > options_.max_head) {
+      Respond(request, TooLarge(431, "the head", options_.max_head));
+    } else if (copy.body.size() > options_.max_body) {
+      Respond(request, TooLarge(413, "the body", options_.max_body));
+    } else {
+      responder respond = MakeResponder(std::move(request));
+      // A library's exception must end one request, not its connection.
+      try {
+        handler_(std::move(copy), respond);
+      } catch (const std::exception& e) {
+        Log(log_level::kError, "handler_failed", {{"reason", e.what()}});
+        respond({.status = 500, .body = R"({"outcome":"unknown"})"});
+      }
+    }
+    return restinio::request_accepted();
+  }
+
+  responder MakeResponder(restinio::request_handle_t request) {
+    return [&loop = loop_, request](http_response response) {
+      // RESTinio's connection belongs to the loop's thread.
+      asio::dispatch(loop, [request, r = std::move(response)]() mutable {
+        if (request->connection_id() != 0) Respond(request, std::move(r));
+      });
+    };
+  }
+
+  asio::io_context& loop_;
+  serve_options options_;
+  http_handler handler_;
+  restinio_server server_;
+  bool open_ = true;
+};
+
+http_server::http_server(std::unique_ptr<impl> i) : impl_(std::move(i)) {}
+http_server::~http_server() = default;
+
+absl::StatusOr<std::unique_ptr<http_server>> http_server::Start(
+    asio::io_context& loop, const serve_options& options,
+    http_handler handler) {
+  auto i = std::make_unique<impl>(loop, options, std::move(handler));
+  try {
+    i->Open();
+  } catch (const std::exception& e) {
+    return absl::UnavailableError(fmt::format(
+        "can't listen on {}: {}", ToString(options.listen), e.what()));
+  }
+  return std::unique_ptr<http_server>(new http_server(std::move(i)));
+}
+
+void http_server::StopAccepting() { impl_->Close(); }
+
+}  // namespace baobabtray
--- /dev/null
+++ b/tray/settings.cc
@@ -0,0 +1,88 @@
+// Reads a daemon's settings. See settings.h.
+
+#include "tray/settings.h"
+
+#include <fmt/format.h>
+
+#include <optional>
+
+#include "tray/doc.h"
+#include "tray/strings.h"
+
+namespace baobabtray {
+namespace {
+
+endpoint ReadEndpoint(doc_map* map, std::string_view key, doc_errors* errors) {
+  std::string word = map->String(key);
+  absl::StatusOr<endpoint> parsed = ParseEndpoint(word);
+  if (parsed.ok()) return *parsed;
+  if (const doc_node* at = map->Find(key)) {
+    errors->Add(*at, fmt::format("'{}': {}", key, MessageOf(parsed.status())));
+  }
+  return {};
+}
+
+// Reads a word that must be in `table`.
+template <typename E, size_t N>
+E ReadWord(doc_map* map, std::string_view key, const name_table<E, N>& table,
+           E fallback, doc_errors* errors) {
+  const doc_node* at = map->Find(key);
+  if (at == nullptr) return fallback;
+  std::optional<E> value = ValueOf(table, at->scalar);
+  if (value) return *value;
+  std::string known;
+  for (const auto& [v, name] : table) known += fmt::format(" {}", name);
+  errors->Add(*at, fmt::format("'{}' must be one of:{}", key, known));
+  return fallback;
+}
+
+bool SamePort(const endpoint& a, const endpoint& b) {
+  return a.port != 0 && a.port == b.port && a.host == b.host;
+}
+
+void CheckPorts(const settings& s, const doc_node& root, doc_errors* errors) {
+  if (SamePort(s.callers, s.peers) || SamePort(s.callers, s.admin) ||
+      SamePort(s.peers, s.admin)) {
+    errors->Add(root, "'callers', 'peers' and 'admin' need different ports");
+  }
+}
+
+}  // namespace
+
+absl::StatusOr<settings> ParseSettings(std::string_view yaml) {
+  doc_errors errors;
+  std::unique_ptr<doc_node> root = ParseDoc(yaml, &errors);
+  if (root == nullptr) return errors.ToStatus();
+  doc_map map(*root, "the settings", &errors);
+  settings s;
+  s.name = map.String("name");
+  s.data_centre = map.String("data_centre");
+  s.region = map.String("region");
+  s.callers = ReadEndpoint(&map, "callers", &errors);
+  s.peers = ReadEndpoint(&map, "peers", &errors);
+  s.admin = ReadEndpoint(&map, "admin", &errors);
+  s.store = ReadEndpoint(&map, "store", &errors);
+  for (const std::string& word : map.Strings("seeds")) {
+    absl::StatusOr<endpoint> seed = ParseEndpoint(word);
+    if (seed.ok()) {
+      s.seeds.push_back(*seed);
+    } else {
+      errors.Add(*map.Find("seeds"), MessageOf(seed.status()));
+    }
+  }
+  s.threads = static_cast<int>(map.Number("threads", {1, 64}, s.threads));
+  s.level = ReadWord(&map, "log_level", kLogLevelNames, s.level, &errors);
+  s.admin_token_file = map.String("admin_token_file", "");
+  s.peer_secret_file = map.String("peer_secret_file", "");
+  s.choice = ReadWord(&map, "replica_choice", kChoiceModeNames, s.choice,
+                      &errors);
+  s.hedging = ReadWord(&map, "hedging", kHedgeModeNames, s.hedging, &errors);
+  s.drain_ms =
+      static_cast<int>(map.Number("drain_ms", {0, 600'000}, s.drain_ms));
+  map.RefuseUnknownKeys();
+  CheckPorts(s, *root, &errors);
+  if (!errors.empty()) return errors.ToStatus();
+  return s;
+}
+
+}  // namespace baobabtray
--- /dev/null
+++ b/tray/settings.h
@@ -0,0 +1,60 @@
+// Settings of one daemon, read from YAML and checked as a whole.
+//
+//   absl::StatusOr<settings> s = ParseSettings(yaml);
+//
+// Settings say where this process is and whom it talks to. Everything that is
+// the same on all hosts belongs in the operators' text instead.
+
+#ifndef TRAY_SETTINGS_H_
+#define TRAY_SETTINGS_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "tray/endpoint.h"
+#include "tray/log.h"
+#include "tray/names.h"
+
+namespace baobabtray {
+
+// How a replica is chosen for a shard.
+enum class choice_mode { kTwoChoices, kLeastWait, kTraceTable };
+constexpr name_table<choice_mode, 3> kChoiceModeNames = {{
+    {choice_mode::kTwoChoices, "two_choices"},
+    {choice_mode::kLeastWait, "least_wait"},
+    {choice_mode::kTraceTable, "trace_table"},
+}};
+
+// When an unanswered shard is asked a second time.
+enum class hedge_mode { kOff, kQuantile, kLastFew };
+constexpr name_table<hedge_mode, 3> kHedgeModeNames = {{
+    {hedge_mode::kOff, "off"},
+    {hedge_mode::kQuantile, "quantile"},
+    {hedge_mode::kLastFew, "last_few"},
+}};
+
+struct settings {
+  std::string name;         // unique among hosts
+  std::string data_centre;  // one that the operators' text lists
+  std::string region;
+  endpoint callers;  // listener for queries
+  endpoint peers;    // listener for other hosts
+  endpoint admin;    // listener for operators
+  endpoint store;    // the platform's key-value service
+  std::vector<endpoint> seeds;  // peers to try first; may be empty
+  int threads = 1;              // for traffic
+  log_level level = log_level::kInfo;
+  std::string admin_token_file;  // empty: edits are refused
+  std::string peer_secret_file;  // empty: peer messages are not signed
+  choice_mode choice = choice_mode::kLeastWait;
+  hedge_mode hedging = hedge_mode::kLastFew;
+  int drain_ms = 2000;  // /ready fails this long before listeners close
+};
+
+absl::StatusOr<settings> ParseSettings(std::string_view yaml);
+
+}  // namespace baobabtray
+
+#endif  // TRAY_SETTINGS_H_
--- /dev/null
+++ b/tray/standin/store_main.cc
@@ -0,0 +1,204 @@
+// A stand-in for the platform's key-value service and host list.
+//
+//   standin_store --listen IP:PORT
+//
+// Speaks the mapping of docs/STORE.md. POST /control changes its faults:
+//   {"down": bool, "slow_ms": N, "drop_replies": FRACTION,
+//    "silence_watches": bool, "hosts": [...], "lag_hosts_ms": N}
+// GET /ledger answers with counts of calls and all keys with their revisions.
+
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+#include <asio.hpp>
+#include <chrono>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "tray/endpoint.h"
+#include "tray/standin/wire.h"
+#include "tray/strings.h"
+
+namespace baobabtray::standin {
+namespace {
+
+using nlohmann::json;
+using connection_ptr = std::shared_ptr<wire_connection>;
+
+struct entry {
+  std::string value;
+  uint64_t revision = 0;
+};
+
+struct watcher {
+  connection_ptr connection;
+  uint64_t after = 0;
+  std::shared_ptr<asio::steady_timer> timer;
+};
+
+class store {
+ public:
+  explicit store(asio::io_context& loop) : loop_(loop) {}
+
+  void Handle(connection_ptr c, const wire_request& r) {
+    if (r.path == "/control") return Control(c, r);
+    if (r.path == "/ledger") return c->Reply(200, {}, Ledger().dump());
+    if (down_) return c->Reset();
+    if (slow_ms_ == 0) return Serve(c, r);
+    auto timer = std::make_shared<asio::steady_timer>(
+        loop_, std::chrono::milliseconds(slow_ms_));
+    timer->async_wait([this, c, r, timer](std::error_code) { Serve(c, r); });
+  }
+
+ private:
+  void Serve(const connection_ptr& c, const wire_request& r) {
+    constexpr std::string_view kKeys = "/v1/kv/", kWatch = "/v1/watch/";
+    if (r.path == "/v1/hosts") {
+      ++calls_["hosts"];
+      return c->Reply(200, {}, hosts_.dump());
+    }
+    if (r.path.starts_with(kWatch)) {
+      ++calls_["watch"];
+      return Watch(c, r, r.path.substr(kWatch.size()));
+    }
+    if (!r.path.starts_with(kKeys)) return c->Reply(404, {}, "");
+    std::string key = r.path.substr(kKeys.size());
+    if (r.method == "PUT") {
+      ++calls_["write"];
+      return Swap(c, r, key);
+    }
+    ++calls_["read"];
+    auto found = keys_.find(key);
+    if (found == keys_.end()) return c->Reply(404, {}, "");
+    ReplyValue(c, found->second);
+  }
+
+  static void ReplyValue(const connection_ptr& c, const entry& e) {
+    c->Reply(200, {{"X-Revision", std::to_string(e.revision)}}, e.value);
+  }
+
+  void Swap(const connection_ptr& c, const wire_request& r,
+            const std::string& key) {
+    uint64_t expected =
+        ParseNumber<uint64_t>(r.Field("if_revision")).value_or(0);
+    auto found = keys_.find(key);
+    uint64_t current = found == keys_.end() ? 0 : found->second.revision;
+    bool lost = drop_replies_ > 0 &&
+                std::uniform_real_distribution<double>(0, 1)(random_) <
+                    drop_replies_;
+    if (current != expected) {
+      if (lost) return c->Reset();
+      return c->Reply(409, {{"X-Revision", std::to_string(current)}}, "");
+    }
+    keys_[key] = {r.body, ++revision_};
+    Notify(key);
+    if (lost) return c->Reset();  // the write has taken effect
+    c->Reply(200, {{"X-Revision", std::to_string(revision_)}}, "");
+  }
+
+  void Watch(const connection_ptr& c, const wire_request& r,
+             const std::string& key) {
+    uint64_t after = ParseNumber<uint64_t>(r.Field("after")).value_or(0);
+    int64_t wait_ms = ParseNumber<int64_t>(r.Field("wait_ms")).value_or(10'000);
+    auto found = keys_.find(key);
+    if (found != keys_.end() && found->second.revision > after &&
+        !silence_watches_) {
+      return ReplyValue(c, found->second);
+    }
+    auto timer = std::make_shared<asio::steady_timer>(
+        loop_, std::chrono::milliseconds(wait_ms));
+    watchers_.emplace(key, watcher{c, after, timer});
+    timer->async_wait([this, c, key](std::error_code error) {
+      if (error || silence_watches_) return;
+      Forget(key, c);
+      c->Reply(204, {}, "");
+    });
+  }
+
+  void Forget(const std::string& key, const connection_ptr& c) {
+    auto [begin, end] = watchers_.equal_range(key);
+    for (auto at = begin; at != end; ++at) {
+      if (at->second.connection != c) continue;
+      watchers_.erase(at);
+      return;
+    }
+  }
+
+  void Notify(const std::string& key) {
+    if (silence_watches_) return;
+    auto [begin, end] = watchers_.equal_range(key);
+    std::vector<watcher> woken;
+    for (auto at = begin; at != end; ++at) woken.push_back(at->second);
+    watchers_.erase(begin, end);
+    for (watcher& w : woken) {
+      w.timer->cancel();
+      ReplyValue(w.connection, keys_[key]);
+    }
+  }
+
+  void Control(const connection_ptr& c, const wire_request& r) {
+    json command = json::parse(r.body, nullptr, false);
+    if (command.is_discarded()) return c->Reply(400, {}, "");
+    down_ = command.value("down", down_);
+    slow_ms_ = command.value("slow_ms", slow_ms_);
+    drop_replies_ = command.value("drop_replies", drop_replies_);
+    silence_watches_ = command.value("silence_watches", silence_watches_);
+    if (command.contains("hosts")) hosts_ = command["hosts"];
+    c->Reply(200, {}, "{}");
+  }
+
+  json Ledger() const {
+    json keys = json::object();
+    for (const auto& [key, e] : keys_) keys[key] = e.revision;
+    return {{"calls", calls_},
+            {"keys", keys},
+            {"watching", watchers_.size()}};
+  }
+
+  asio::io_context& loop_;
+  std::map<std::string, entry> keys_;
+  std::multimap<std::string, watcher> watchers_;
+  std::map<std::string, uint64_t> calls_;
+  uint64_t revision_ = 0;
+  json hosts_ = json::array();
+  bool down_ = false;
+  bool silence_watches_ = false;
+  int slow_ms_ = 0;
+  double drop_replies_ = 0;
+  std::mt19937_64 random_{1};
+};
+
+int Run(int argc, char** argv) {
+  TCLAP::CmdLine cmd("Stand-in key-value store", ' ', BAOBABTRAY_VERSION);
+  TCLAP::ValueArg<std::string> listen("", "listen", "own address", true, "",
+                                      "IP:PORT", cmd);
+  cmd.parse(argc, argv);
+  absl::StatusOr<endpoint> address = ParseEndpoint(listen.getValue());
+  if (!address.ok()) {
+    fmt::print(stderr, "{}\n", MessageOf(address.status()));
+    return 1;
+  }
+  asio::io_context loop(1);
+  store s(loop);
+  wire_server server(loop, address->host, address->port,
+                     [&s](connection_ptr c, const wire_request& r) {
+                       s.Handle(std::move(c), r);
+                     });
+  server.Listen();
+  loop.run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace baobabtray::standin
+
+int main(int argc, char** argv) {
+  try {
+    return baobabtray::standin::Run(argc, argv);
+  } catch (const std::exception& e) {
+    std::cerr << e.what() << "\n";
+    return 1;
+  }
+}
--- /dev/null
+++ b/tray/store_client.cc
@@ -0,0 +1,98 @@
+// HTTP calls to the store. See store_client.h.
+
+#include "tray/store_client.h"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+
+#include "tray/strings.h"
+
+namespace baobabtray {
+namespace {
+
+store_fault FaultOf(const fetch_result& r) {
+  if (r.fault == fetch_fault::kNotSent) return store_fault::kNotSent;
+  if (r.fault != fetch_fault::kNone) return store_fault::kLost;
+  switch (r.status) {
+    case 200:
+      return store_fault::kNone;
+    case 204:
+    case 404:
+      return store_fault::kAbsent;
+    case 409:
+      return store_fault::kConflict;
+    default:
+      return store_fault::kLost;  // an error that does not say what happened
+  }
+}
+
+}  // namespace
+
+void store_client::Call(std::string_view name, fetch_request request,
+                        store_callback done) {
+  request.to = store_;
+  http_.Start(std::move(request), [this, name, done = std::move(done)](
+                                      fetch_result reply) {
+    store_result result;
+    result.fault = FaultOf(reply);
+    result.revision =
+        ParseNumber<uint64_t>(HeaderOf(reply, "X-Revision")).value_or(0);
+    result.value = std::move(reply.body);
+    counters_.CountStoreCall(name, NameOf(kStoreFaultNames, result.fault));
+    done(std::move(result));
+  });
+}
+
+void store_client::Read(const std::string& key, store_callback done) {
+  Call("read",
+       {.method = "GET", .path = "/v1/kv/" + key, .timeout = kCallTimeout},
+       std::move(done));
+}
+
+void store_client::Swap(const std::string& key, uint64_t expected,
+                        std::string value, store_callback done) {
+  // On a connection of its own: libcurl never sends it twice by itself.
+  Call("write",
+       {.method = "PUT",
+        .path = fmt::format("/v1/kv/{}?if_revision={}", key, expected),
+        .body = std::make_shared<std::string>(std::move(value)),
+        .timeout = kCallTimeout,
+        .fresh = true},
+       std::move(done));
+}
+
+void store_client::Watch(const std::string& key, uint64_t after,
+                         store_callback done) {
+  Call("watch",
+       {.method = "GET",
+        .path = fmt::format("/v1/watch/{}?after={}&wait_ms={}", key, after,
+                            kWatchTime / kMillisecond),
+        .timeout = kWatchTime + kCallTimeout},
+       std::move(done));
+}
+
+void store_client::ListHosts(
+    std::function<void(std::vector<listed_host>)> done) {
+  Call("hosts",
+       {.method = "GET", .path = "/v1/hosts", .timeout = kCallTimeout},
+       [done = std::move(done)](store_result result) {
+         std::vector<listed_host> hosts;
+         nlohmann::json list =
+             nlohmann::json::parse(result.value, nullptr, false);
+         if (result.fault != store_fault::kNone || !list.is_array()) {
+           return done({});
+         }
+         for (const nlohmann::json& item : list) {
+           if (!item.is_object()) continue;
+           auto peers = ParseEndpoint(item.value("peers", ""));
+           if (!peers.ok()) continue;
+           hosts.push_back({.name = item.value("name", ""),
+                            .peers = *peers,
+                            .leaving = item.value("leaving", false)});
+         }
+         done(std::move(hosts));
+       });
+}
+
+}  // namespace baobabtray
--- /dev/null
+++ b/tray/traffic.cc
@@ -0,0 +1,692 @@
+// Traffic threads. See traffic.h.
+//
+// Every event of a query goes through Step: decide under the lock, resolve the
+// actions to addresses while still under it, then perform them without it.
+
+#include "tray/traffic.h"
+
+#include <fmt/format.h>
+
+#include <asio.hpp>
+#include <chrono>
+#include <queue>
+#include <unordered_map>
+
+#include "tray/backend_wire.h"
+#include "tray/callers.h"
+#include "tray/claims.h"
+#include "tray/fetch.h"
+#include "tray/hash.h"
+#include "tray/log.h"
+#include "tray/peer_wire.h"
+#include "tray/serve.h"
+#include "tray/strings.h"
+
+namespace baobabtray {
+
+// One attempt on its way out, with all it needs.
+struct traffic_worker::outgoing {
+  uint64_t query = 0;
+  uint64_t attempt = 0;
+  attempt_kind kind = attempt_kind::kFirst;
+  endpoint to;
+  int connections = 1;
+  bool hand_over = false;
+  shard_request request;
+  std::shared_ptr<const std::string> payload;
+  int worker = 0;
+};
+
+namespace {
+
+// A timer that fires later than this was held up by a pause of the host.
+constexpr micros kPauseBound = 50 * kMillisecond;
+// Waiting shards whose server may have come back are looked at this often.
+constexpr auto kWaitingTick = std::chrono::milliseconds(10);
+constexpr size_t kWakesPerTick = 256;
+constexpr int kPeerConnections = 64;
+
+using finish_callback = std::function<void(const query&)>;
+
+struct live_query {
+  query q;
+  std::string request_id;
+  std::string service;
+  std::shared_ptr<const std::string> payload;
+  finish_callback finish;
+  int customer = -1;
+  micros scheduled_at = 0;  // 0: no timer entry
+};
+
+// A timer entry; stale if the query has another scheduled_at by then.
+struct timer_entry {
+  micros at = 0;
+  uint64_t query = 0;
+  bool operator>(const timer_entry& other) const { return at > other.at; }
+};
+
+}  // namespace
+
+class traffic_worker::impl {
+ public:
+  impl(engine* shared, int index)
+      : shared_(*shared),
+        index_(index),
+        loop_(1),
+        work_(asio::make_work_guard(loop_)),
+        http_(loop_),
+        claims_(&http_, shared, &loop_),
+        timer_(loop_),
+        tick_(loop_),
+        random_(std::random_device{}()) {}
+
+  absl::Status Listen() {
+    serve_options options{.listen = shared_.own.callers, .share_port = true};
+    auto callers = http_server::Start(
+        loop_, options, [this](http_request r, responder respond) {
+          HandleCaller(std::move(r), std::move(respond));
+        });
+    if (!callers.ok()) return callers.status();
+    callers_ = *std::move(callers);
+    options.listen = shared_.own.peers;
+    options.message_seconds = 120;
+    options.max_body = 4 << 20;
+    auto peers = http_server::Start(
+        loop_, options, [this](http_request r, responder respond) {
+          HandlePeer(std::move(r), std::move(respond));
+        });
+    if (!peers.ok()) return peers.status();
+    peers_ = *std::move(peers);
+    return absl::OkStatus();
+  }
+
+  void Run() {
+    if (index_ == 0) ArmTick();
+    loop_.run();
+  }
+
+  void StopAccepting() {
+    asio::post(loop_, [this] { callers_->StopAccepting(); });
+  }
+
+  asio::io_context& loop() { return loop_; }
+  int in_hand() const { return in_hand_.load(); }
+  void Stop() { loop_.stop(); }
+
+  void Send(outgoing send) {
+    http_.SetConnections(send.to, send.connections);
+    fetch_request r;
+    r.to = send.to;
+    r.path = send.hand_over ? "/peer/attempt" : "/query";
+    r.headers = ToHeaders(send.request);
+    if (send.hand_over) {
+      r.headers.push_back(fmt::format(
+          "{}: {}", kPeerAuthHeader,
+          SignPeer(shared_.peer_secret, r.path, *send.payload, WallNowMs())));
+    }
+    r.body = send.payload;
+    r.timeout = send.request.deadline;
+    r.fresh = !send.request.idempotent;
+    r.attempt_id = fmt::format("{}-{}", shared_.id_prefix, send.attempt);
+    uint64_t fetch = http_.Start(
+        std::move(r), [this, query = send.query, attempt = send.attempt,
+                       kind = send.kind](fetch_result reply) {
+          fetches_.erase(attempt);
+          traffic_worker* home = shared_.workers[query % kMaxWorkers];
+          std::string server(HeaderOf(reply, kServerHeader));
+          attempt_result result = ResultFrom(std::move(reply));
+          if (!server.empty()) result.server = PositionOf(server);
+          home->PostResult(query, attempt, kind, std::move(result));
+        });
+    fetches_[send.attempt] = fetch;
+  }
+
+  void Cancel(uint64_t attempt) {
+    auto found = fetches_.find(attempt);
+    if (found == fetches_.end()) return;
+    http_.Cancel(found->second);
+    fetches_.erase(found);
+  }
+
+  void TakeResult(uint64_t id, uint64_t attempt, attempt_kind kind,
+                  attempt_result result) {
+    shared_.counters.CountAttempt(kind, result.end);
+    Step(id, [&](routing* r, query* q, micros now, query_actions* actions) {
+      OnAttemptEnd(r, q, attempt, std::move(result), now, actions);
+    });
+  }
+
+  void TakeRoom(const waiter& w) {
+    Step(w.query, [&](routing* r, query* q, micros now,
+                      query_actions* actions) {
+      OnRoom(r, q, w.slot, now, actions);
+    });
+  }
+
+ private:
+  // What one step of a query leads to.
+  struct effects {
+    std::vector<outgoing> sends;
+    std::vector<uint64_t> cancels;
+    std::vector<waiter> wakes;
+  };
+
+  int PositionOf(const std::string& server) {
+    std::lock_guard lock(shared_.mutex);
+    if (shared_.r.servers.in_force == nullptr) return -1;
+    const auto& by_name = shared_.r.servers.in_force->config->server_by_name;
+    auto found = by_name.find(server);
+    return found == by_name.end() ? -1 : found->second;
+  }
+
+  // ---- Queries -----------------------------------------------------------
+
+  template <typename Decide>
+  void Step(uint64_t id, Decide decide) {
+    auto found = queries_.find(id);
+    if (found == queries_.end()) return;
+    live_query* live = found->second.get();
+    effects todo;
+    {
+      std::lock_guard lock(shared_.mutex);
+      query_actions actions;
+      micros now = SteadyNow();
+      decide(&shared_.r, &live->q, now, &actions);
+      Resolve(*live, actions, now, &todo);
+      if (live->q.finished) Leave(&shared_.admission, live->customer);
+    }
+    Perform(std::move(todo));
+    if (live->q.finished) {
+      Conclude(id);
+    } else {
+      Schedule(live);
+    }
+  }
+
+  // Turns positions into addresses, and freed room into waiters to wake. Called
+  // under the lock.
+  void Resolve(const live_query& live, const query_actions& actions, micros now,
+               effects* todo) {
+    const fleet& f = shared_.r.servers;
+    const text& t = *f.in_force->config;
+    int workers = static_cast<int>(shared_.workers.size());
+    for (const send_action& s : actions.sends) {
+      const shard_state& shard = live.q.shards[s.slot];
+      outgoing out{.query = live.q.spec.id,
+                   .attempt = s.attempt,
+                   .kind = s.kind,
+                   .hand_over = s.server < 0,
+                   .payload = live.payload,
+                   .worker = index_};
+      out.request = {.service = t.services[shard.target.service].name,
+                     .shard = shard.target.shard,
+                     .version = live.q.version,
+                     .rank = live.q.spec.rank,
+                     .idempotent = live.q.spec.idempotent,
+                     .deadline = s.timeout};
+      if (out.hand_over) {
+        out.to = f.hosts[s.host].peers;
+        out.connections = kPeerConnections;
+      } else {
+        out.to = t.servers[s.server].address;
+        out.connections = ConnectionShare(f.servers[s.server]);
+        out.worker = static_cast<int>(f.in_force->server_hashes[s.server] %
+                                      workers);
+      }
+      todo->sends.push_back(std::move(out));
+    }
+    for (const cancel_action& c : actions.cancels) {
+      todo->cancels.push_back(c.attempt);
+    }
+    for (int server : actions.freed) Wake(server, now, todo);
+  }
+
+  // Wakes as many waiters as a server now has room for.
+  void Wake(int server, micros now, effects* todo) {
+    waiting_room* waiting = &shared_.r.waiting;
+    if (waiting->size == 0) return;
+    const fleet& f = shared_.r.servers;
+    const server_state& s = f.servers[server];
+    int room = RoomOf(s.window, now);
+    uint64_t service = f.in_force->service_hashes
+        [f.in_force->config->servers[server].service];
+    for (const version_report& v : s.versions) {
+      for (int shard : v.shards) {
+        while (room > 0) {
+          std::optional<waiter> w =
+              TakeWaiter(waiting, ShardKey(service, shard));
+          if (!w) break;
+          todo->wakes.push_back(*w);
+          --room;
+        }
+      }
+    }
+  }
+
+  void Perform(effects todo) {
+    for (uint64_t attempt : todo.cancels) {
+      Cancel(attempt);
+      if (shared_.workers.size() == 1) continue;
+      for (traffic_worker* w : shared_.workers) {
+        if (w->impl_.get() != this) w->PostCancel(attempt);
+      }
+    }
+    for (outgoing& send : todo.sends) {
+      if (send.worker == index_) {
+        Send(std::move(send));
+      } else {
+        int worker = send.worker;
+        shared_.workers[worker]->PostSend(std::move(send));
+      }
+    }
+    for (const waiter& w : todo.wakes) {
+      shared_.workers[w.query % kMaxWorkers]->PostRoom(w);
+    }
+  }
+
+  void Begin(std::unique_ptr<live_query> live) {
+    uint64_t id = live->q.spec.id;
+    queries_.emplace(id, std::move(live));
+    ++in_hand_;
+    Step(id, [](routing* r, query* q, micros now, query_actions* actions) {
+      StartQuery(r, q, now, actions);
+    });
+  }
+
+  void Conclude(uint64_t id) {
+    auto node = queries_.extract(id);
+    --in_hand_;
+    live_query& live = *node.mapped();
+    const query& q = live.q;
+    micros latency = SteadyNow() - q.spec.start;
+    shared_.counters.CountQuery(live.service, q.outcome, latency,
+                                static_cast<int>(q.shards.size()), q.answered);
+    log_level level = q.outcome == query_outcome::kComplete
+                          ? log_level::kDebug
+                          : log_level::kInfo;
+    if (level >= GetLogLevel()) {
+      Log(level, "query",
+          {{"request_id", live.request_id},
+           {"service", live.service},
+           {"outcome", std::string(NameOf(kQueryOutcomeNames, q.outcome))},
+           {"coverage", fmt::format("{}/{}", q.answered, q.shards.size())},
+           {"ms", fmt::format("{:.1f}", latency / 1000.0)}});
+    }
+    live.finish(q);
+  }
+
+  // ---- Timers ------------------------------------------------------------
+
+  void Schedule(live_query* live) {
+    if (live->scheduled_at != 0 && live->scheduled_at <= live->q.timer_at) {
+      return;
+    }
+    live->scheduled_at = live->q.timer_at;
+    timers_.push({live->q.timer_at, live->q.spec.id});
+    ArmTimer();
+  }
+
+  void ArmTimer() {
+    if (timers_.empty()) return;
+    micros at = timers_.top().at;
+    if (armed_at_ != 0 && armed_at_ <= at) return;
+    armed_at_ = at;
+    timer_.expires_at(std::chrono::steady_clock::time_point(
+        std::chrono::microseconds(at)));
+    timer_.async_wait([this](std::error_code error) {
+      if (error) return;
+      armed_at_ = 0;
+      RunTimers();
+      ArmTimer();
+    });
+  }
+
+  void RunTimers() {
+    micros now = SteadyNow();
+    while (!timers_.empty() && timers_.top().at <= now) {
+      timer_entry entry = timers_.top();
+      timers_.pop();
+      auto found = queries_.find(entry.query);
+      if (found == queries_.end()) continue;
+      live_query* live = found->second.get();
+      if (live->scheduled_at != entry.at) continue;
+      live->scheduled_at = 0;
+      bool paused = now - entry.at > kPauseBound;
+      Step(entry.query, [&](routing* r, query* q, micros at,
+                            query_actions* actions) {
+        OnQueryTimer(r, q, at, paused, actions);
+      });
+    }
+  }
+
+  void ArmTick() {
+    tick_.expires_after(kWaitingTick);
+    tick_.async_wait([this](std::error_code error) {
+      if (error) return;
+      WakeSome();
+      ArmTick();
+    });
+  }
+
+  // Wakes one waiter of each queue, since a held server's back-off or a raised
+  // share ends without any reply.
+  void WakeSome() {
+    effects todo;
+    {
+      std::lock_guard lock(shared_.mutex);
+      waiting_room* waiting = &shared_.r.waiting;
+      std::vector<shard_key> keys;
+      for (const auto& [key, queue] : waiting->queues) {
+        keys.push_back(key);
+        if (keys.size() >= kWakesPerTick) break;
+      }
+      for (shard_key key : keys) {
+        if (auto w = TakeWaiter(waiting, key)) todo.wakes.push_back(*w);
+      }
+      shared_.counters.SetInFlight(shared_.admission.in_hand, waiting->size);
+    }
+    Perform(std::move(todo));
+  }
+
+  // ---- Callers -----------------------------------------------------------
+
+  uint64_t NextQueryId() { return ++last_query_ * kMaxWorkers + index_; }
+
+  responder Closing(responder respond) {
+    return [this, respond = std::move(respond)](http_response r) {
+      if (shared_.draining) r.close = true;
+      respond(std::move(r));
+    };
+  }
+
+  void HandleCaller(http_request r, responder plain) {
+    responder respond = Closing(std::move(plain));
+    std::string id = NewRequestId(&random_);
+    if (r.path != "/v1/query" || r.method != "POST") {
+      respond(RenderError({.status = 404,
+                           .code = "not_found",
+                           .message = "queries are POSTed to /v1/query"},
+                          id));
+      return;
+    }
+    absl::StatusOr<caller_request> request = ParseCallerRequest(r.body);
+    if (!request.ok()) {
+      respond(RenderError({.status = 400,
+                           .code = "bad_request",
+                           .message = MessageOf(request.status())},
+                          id));
+      return;
+    }
+    auto live = std::make_unique<live_query>();
+    live->request_id = id;
+    live->service = request->service;
+    live->payload = request->payload;
+    if (auto error = AdmitCaller(*request, live.get())) {
+      respond(RenderError(*error, id));
+      return;
+    }
+    bool claimed = !live->q.spec.idempotent && !request->key.empty();
+    if (claimed) {
+      RunClaimed(std::move(live), *request, std::move(respond));
+      return;
+    }
+    live->finish = [respond, id](const query& q) {
+      respond(ResponseTo(q, id));
+    };
+    Begin(std::move(live));
+  }
+
+  static http_response ResponseTo(const query& q, const std::string& id) {
+    if (q.outcome == query_outcome::kNotRun) {
+      std::string why = q.shards.empty()
+                            ? "no index version is known yet"
+                            : "no backend server could take the request";
+      return RenderError({.status = 503, .code = "unavailable", .message = why},
+                         id);
+    }
+    return {.status = StatusOf(q.outcome), .body = RenderAnswer(q, id)};
+  }
+
+  // Fills in the query's spec and admits it, or says why not.
+  std::optional<caller_error> AdmitCaller(const caller_request& request,
+                                          live_query* live) {
+    std::lock_guard lock(shared_.mutex);
+    const fleet& f = shared_.r.servers;
+    if (f.in_force == nullptr) {
+      return caller_error{503, "no_configuration",
+                          "this host has no configuration yet"};
+    }
+    const text& t = *f.in_force->config;
+    const service* s = FindService(t, request.service);
+    if (s == nullptr) {
+      return caller_error{404, "unknown_service",
+                          fmt::format("there is no service '{}'",
+                                      request.service.substr(0, 64))};
+    }
+    micros now = SteadyNow();
+    const service_policy& p = s->policy;
+    query_spec& spec = live->q.spec;
+    spec.id = NextQueryId();
+    spec.service = static_cast<int>(s - t.services.data());
+    spec.rank = request.rank.value_or(p.rank);
+    spec.idempotent = request.idempotent.value_or(p.idempotent);
+    spec.start = now;
+    spec.deadline = now + request.deadline.value_or(p.deadline);
+    if (p.soft_deadline != 0) spec.soft_deadline = now + p.soft_deadline;
+    spec.min_coverage = p.min_coverage;
+    live->customer = s->customer;
+    admission verdict = Admit(shared_.r, shared_.admission, spec.service,
+                              spec.rank, spec.deadline - now, now);
+    if (verdict == admission::kAccepted) {
+      Enter(&shared_.admission, live->customer);
+      return std::nullopt;
+    }
+    shared_.counters.CountRefusal(request.service, verdict);
+    return caller_error{503, std::string(NameOf(kAdmissionNames, verdict)),
+                        "refused before any backend server was asked"};
+  }
+
+  // Runs a query whose key must be claimed first.
+  void RunClaimed(std::unique_ptr<live_query> live,
+                  const caller_request& request, responder respond) {
+    auto shared_live = std::make_shared<std::unique_ptr<live_query>>(
+        std::move(live));
+    live_query& l = **shared_live;
+    std::string id = l.request_id;
+    ++in_hand_;
+    claims_.Claim(
+        ClaimKey(request.service, request.key), l.q.spec.deadline,
+        [this, shared_live, respond, id](claimed_key claim) {
+          --in_hand_;
+          std::unique_ptr<live_query> mine = std::move(*shared_live);
+          if (claim.verdict != claim_verdict::kRun) {
+            std::lock_guard lock(shared_.mutex);
+            Leave(&shared_.admission, mine->customer);
+          }
+          if (claim.verdict == claim_verdict::kNotRun) {
+            respond(RenderError({.status = 503,
+                                 .code = "claim_failed",
+                                 .message = "the key could not be claimed in "
+                                            "the store"},
+                                id));
+            return;
+          }
+          if (claim.verdict == claim_verdict::kDuplicate) {
+            respond(DuplicateResponse(claim.record, id));
+            return;
+          }
+          mine->finish = [this, respond, id, claim](const query& q) {
+            http_response r = ResponseTo(q, id);
+            claims_.Settle(claim, q.outcome, r.body);
+            respond(std::move(r));
+          };
+          Begin(std::move(mine));
+        });
+  }
+
+  // What the sender of a key that is taken is told: the outcome if it is known.
+  static http_response DuplicateResponse(const claim_record& record,
+                                         const std::string& id) {
+    if (record.state == claim_state::kDone && !record.answer.empty()) {
+      return {.status = 200,
+              .body = record.answer,
+              .headers = {{"X-Duplicate", "1"}}};
+    }
+    caller_error error{.status = 409, .outcome = query_outcome::kUnknown};
+    if (record.state == claim_state::kDone) {
+      error.code = "duplicate";
+      error.message = "the request was run; its answer was too large to keep";
+    } else if (WallNowMs() < record.until_ms) {
+      error.code = "in_progress";
+      error.message = "another request with this key is being run";
+    } else {
+      error.code = "unknown";
+      error.message = "another request with this key was begun and its outcome "
+                      "is not known";
+    }
+    return RenderError(error, id);
+  }
+
+  // ---- Peers -------------------------------------------------------------
+
+  void HandlePeer(http_request r, responder plain) {
+    responder respond = Closing(std::move(plain));
+    std::string_view auth = HeaderOf(r, "x-peer-auth");
+    if (!CheckPeer(shared_.peer_secret, r.path, r.body, auth, WallNowMs())) {
+      Log(log_level::kWarning, "peer_refused",
+          {{"path", r.path}, {"reason", "bad signature"}});
+      respond({.status = 403, .body = "{}"});
+      return;
+    }
+    if (r.path == "/peer/attempt") {
+      HandleHandOver(r, std::move(respond));
+      return;
+    }
+    std::string path = r.path + (r.query.empty() ? "" : "?" + r.query);
+    shared_.on_peer_message("", path, std::move(r.body),
+                            [respond](int status, std::string body) {
+                              respond({.status = status,
+                                       .body = std::move(body)});
+                            });
+  }
+
+  // A shard request that a peer without a share hands to this host.
+  void HandleHandOver(const http_request& r, responder respond) {
+    std::string attempt(HeaderOf(r, "x-attempt-id"));
+    auto refuse = [&](int status, const std::string& why) {
+      respond({.status = status,
+               .body = "{}",
+               .headers = {{std::string(kNotRunHeader), why},
+                           {std::string(kAttemptIdHeader), attempt}}});
+    };
+    absl::StatusOr<shard_request> request = ShardRequestFrom(r);
+    if (!request.ok()) return refuse(400, "malformed");
+    auto live = std::make_unique<live_query>();
+    live->request_id = attempt;
+    live->service = request->service;
+    live->payload = std::make_shared<std::string>(r.body);
+    {
+      std::lock_guard lock(shared_.mutex);
+      const auto& in_force = shared_.r.servers.in_force;
+      const service* s = in_force == nullptr
+                             ? nullptr
+                             : FindService(*in_force->config, request->service);
+      if (s == nullptr) return refuse(503, "unknown service");
+      Enter(&shared_.admission, s->customer);
+      live->customer = s->customer;
+      query_spec& spec = live->q.spec;
+      spec.service = static_cast<int>(s - in_force->config->services.data());
+    }
+    query_spec& spec = live->q.spec;
+    spec.id = NextQueryId();
+    spec.rank = request->rank;
+    spec.idempotent = request->idempotent;
+    spec.start = SteadyNow();
+    spec.deadline = spec.start + request->deadline;
+    spec.may_hand_over = false;
+    spec.pinned = true;
+    spec.pinned_version = request->version;
+    spec.pinned_shard = request->shard;
+    live->finish = [respond, attempt](const query& q) {
+      respond(HandOverResponse(q, attempt));
+    };
+    Begin(std::move(live));
+  }
+
+  static http_response HandOverResponse(const query& q,
+                                        const std::string& attempt) {
+    http_response r{.body = "{}"};
+    const shard_state* s = q.shards.empty() ? nullptr : &q.shards[0];
+    if (s != nullptr && s->answered) {
+      std::string server;
+      if (s->answered_by >= 0) {
+        server = q.in_force->config->servers[s->answered_by].name;
+      }
+      r.headers = ReportHeaders(server, q.version, s->report);
+      r.body = s->body;
+    } else if (q.outcome == query_outcome::kNotRun) {
+      bool gone = s != nullptr && s->reason == miss_reason::kVersionGone;
+      r.status = gone ? 409 : 503;
+      r.headers.push_back({std::string(kNotRunHeader), "handed_over"});
+    } else {
+      r.status = 504;
+    }
+    r.headers.push_back({std::string(kAttemptIdHeader), attempt});
+    return r;
+  }
+
+  engine& shared_;
+  const int index_;
+  asio::io_context loop_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  fetcher http_;
+  claim_runner claims_;
+  std::unique_ptr<http_server> callers_;
+  std::unique_ptr<http_server> peers_;
+  asio::steady_timer timer_;
+  asio::steady_timer tick_;
+  micros armed_at_ = 0;  // 0: the timer is not armed
+  std::mt19937_64 random_;
+  uint64_t last_query_ = 0;
+  std::atomic<int> in_hand_{0};
+  std::unordered_map<uint64_t, std::unique_ptr<live_query>> queries_;
+  std::unordered_map<uint64_t, uint64_t> fetches_;  // attempt -> fetch
+  std::priority_queue<timer_entry, std::vector<timer_entry>,
+                      std::greater<timer_entry>>
+      timers_;
+};
+
+traffic_worker::traffic_worker(engine* shared, int index)
+    : impl_(new impl(shared, index)) {}
+traffic_worker::~traffic_worker() = default;
+
+absl::Status traffic_worker::Listen() { return impl_->Listen(); }
+void traffic_worker::Run() { impl_->Run(); }
+void traffic_worker::Stop() { impl_->Stop(); }
+void traffic_worker::StopAccepting() { impl_->StopAccepting(); }
+int traffic_worker::in_hand() const { return impl_->in_hand(); }
+asio::io_context& traffic_worker::loop() { return impl_->loop(); }
+
+void traffic_worker::PostSend(outgoing send) {
+  asio::post(impl_->loop(), [this, s = std::move(send)]() mutable {
+    impl_->Send(std::move(s));
+  });
+}
+
+void traffic_worker::PostCancel(uint64_t attempt) {
+  asio::post(impl_->loop(), [this, attempt] { impl_->Cancel(attempt); });
+}
+
+void traffic_worker::PostResult(uint64_t query, uint64_t attempt,
+                                attempt_kind kind, attempt_result result) {
+  asio::dispatch(impl_->loop(),
+                 [this, query, attempt, kind, r = std::move(result)]() mutable {
+                   impl_->TakeResult(query, attempt, kind, std::move(r));
+                 });
+}
+
+void traffic_worker::PostRoom(const waiter& w) {
+  asio::post(impl_->loop(), [this, w] { impl_->TakeRoom(w); });
+}
+
+}  // namespace baobabtray
--- /dev/null
+++ b/tray/waiting.h
@@ -0,0 +1,81 @@
+// Shard requests that wait for room at a backend server.
+//
+// One queue per shard. Room is granted by stride scheduling: first between
+// customers by their weight, then between priorities within a customer, 16 to 4
+// to 1. Urgent work so goes first in practice, and audit work still gets its part
+// of a full tier. Adding, taking and dropping are logarithmic in one queue.
+
+#ifndef TRAY_WAITING_H_
+#define TRAY_WAITING_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+#include "tray/text.h"
+#include "tray/time.h"
+
+namespace baobabtray {
+
+// Grants per round for each priority.
+constexpr std::array<int, kPriorities> kPriorityWeights = {16, 4, 1};
+
+// Names a shard independently of the text in force.
+using shard_key = uint64_t;
+shard_key ShardKey(uint64_t service_hash, int shard);
+
+// One shard of one query, waiting.
+struct waiter {
+  uint64_t query = 0;
+  int slot = 0;  // position among the query's shards
+  priority rank = priority::kNormal;
+  int customer = -1;
+  int weight = 1;  // of the customer
+};
+
+// Refers to a queued waiter, to drop it.
+struct waiter_ticket {
+  shard_key key = 0;
+  uint64_t sequence = 0;  // 0: none
+};
+
+// Waiters of one priority, first come first served.
+struct class_queue {
+  double granted = 0;  // virtual time
+  std::map<uint64_t, waiter> waiters;
+};
+
+struct customer_queue {
+  double granted = 0;  // virtual time
+  std::array<class_queue, kPriorities> classes;
+};
+
+struct shard_queue {
+  std::map<int, customer_queue> customers;
+  int size = 0;
+};
+
+struct waiting_room {
+  std::unordered_map<shard_key, shard_queue> queues;  // none is empty
+  uint64_t next_sequence = 1;
+  int size = 0;
+};
+
+// Queues `w`. A waiter that was taken in vain gives its old ticket and so keeps its
+// turn.
+waiter_ticket AddWaiter(waiting_room* room, shard_key key, const waiter& w,
+                        const waiter_ticket& old = {});
+
+// Takes the waiter whose turn it is, if any waits for `key`.
+std::optional<waiter> TakeWaiter(waiting_room* room, shard_key key);
+
+void DropWaiter(waiting_room* room, const waiter_ticket& ticket);
+
+// Waiters for `key` that would be served before a new one of `rank`, roughly.
+int WaitersAhead(const waiting_room& room, shard_key key, priority rank);
+
+}  // namespace baobabtray
+
+#endif  // TRAY_WAITING_H_
