--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -74,6 +74,7 @@
 expect "complete: 10 of 10 shards" tool query alerta-colapso '{"pipe":"C-104"}'
 say "all replicas of one shard are killed; the answer says which is missing"
 backends '{"match":{"service":"alerta-04"},"action":"kill"}'
+expect "partial: 9 of 10 shards" tool query alerta-colapso '{"pipe":"C-104"}'
 expect "missing: alerta-04 shard 0" tool query alerta-colapso '{"pipe":"C-104"}'
 say "everything stops"
 for pid in "${pids[@]}"; do kill -TERM "$pid"; done
--- a/tray/admin.cc
+++ b/tray/admin.cc
@@ -40,7 +40,8 @@
 json OutList(const config& c) {
   json out = json::array();
   for (const place& p : c.out) {
-    out.push_back({{"kind", NameOf(kPlaceKindNames, p.kind)}, {"name", p.name}});
+    out.push_back(
+        {{"kind", NameOf(kPlaceKindNames, p.kind)}, {"name", p.name}});
   }
   return out;
 }
@@ -94,15 +95,15 @@
     e.base_revision = j.value("base_revision", int64_t{-1});
     if (e.kind == edit_kind::kApply) j.at("text").get_to(e.text);
     if (e.kind == edit_kind::kOut || e.kind == edit_kind::kIn) {
-      auto place = ValueOf(kPlaceKindNames,
-                           j.at("place_kind").get<std::string>());
+      auto place =
+          ValueOf(kPlaceKindNames, j.at("place_kind").get<std::string>());
       if (!place) {
         return absl::InvalidArgumentError(
             "'place_kind' must be data_centre or server");
       }
       e.where = {*place, j.at("place")};
-      e.detail = fmt::format("{} {}", NameOf(kPlaceKindNames, *place),
-                             e.where.name);
+      e.detail =
+          fmt::format("{} {}", NameOf(kPlaceKindNames, *place), e.where.name);
     }
   } catch (const json::exception& error) {
     return absl::InvalidArgumentError(error.what());
@@ -172,9 +173,9 @@
   if (r.path == "/live") return respond({.body = R"({"live":true})"});
   if (r.path == "/ready") {
     std::string reason = NotReady();
-    return respond({.status = reason.empty() ? 200 : 503,
-                    .body = Dump({{"ready", reason.empty()},
-                                  {"reason", reason}})});
+    return respond(
+        {.status = reason.empty() ? 200 : 503,
+         .body = Dump({{"ready", reason.empty()}, {"reason", reason}})});
   }
   if (r.path == "/metrics") {
     return respond({.body = c_.shared.counters.Render(),
@@ -226,11 +227,10 @@
   if (f.in_force != nullptr) {
     for (size_t i = 0; i < f.servers.size(); ++i) {
       const backend_server& b = f.in_force->config->servers[i];
-      std::string phase =
-          f.in_force->server_out[i]
-              ? "out"
-              : std::string(NameOf(kWindowPhaseNames,
-                                   f.servers[i].window.phase));
+      std::string phase = f.in_force->server_out[i]
+                              ? "out"
+                              : std::string(NameOf(kWindowPhaseNames,
+                                                   f.servers[i].window.phase));
       json& counts = services[f.in_force->config->services[b.service].name];
       counts[phase] = counts.is_null() ? 1 : counts.value(phase, 0) + 1;
     }
@@ -306,17 +306,16 @@
          {"by", e.by},
          {"detail", e.detail},
          {"id", e.id}});
-    keeper_.Edit(std::move(e), wait_ms * kMillisecond,
-                 [respond](edit_report report) {
-                   const edit_run& run = report.run;
-                   Log(log_level::kInfo, "edit_ended",
-                       {{"id", run.wanted.id},
-                        {"verdict",
-                         std::string(NameOf(kEditVerdictNames, run.verdict))},
-                        {"revision", std::to_string(run.revision)}});
-                   respond({.status = StatusOf(run.verdict),
-                            .body = Dump(ReportJson(report))});
-                 });
+    keeper_.Edit(
+        std::move(e), wait_ms * kMillisecond, [respond](edit_report report) {
+          const edit_run& run = report.run;
+          Log(log_level::kInfo, "edit_ended",
+              {{"id", run.wanted.id},
+               {"verdict", std::string(NameOf(kEditVerdictNames, run.verdict))},
+               {"revision", std::to_string(run.revision)}});
+          respond({.status = StatusOf(run.verdict),
+                   .body = Dump(ReportJson(report))});
+        });
   };
   if (wanted->kind != edit_kind::kRollback) return begin(*std::move(wanted));
   if (j.contains("revision") && j["revision"].is_number_integer()) {
@@ -326,9 +325,9 @@
   keeper_.History(rollback_to, [begin, respond, rollback_to,
                                 e = *std::move(wanted)](std::string old) {
     if (old.empty()) {
-      return respond(Problem(404, "no_such_revision",
-                             fmt::format("revision {} is not kept",
-                                         rollback_to)));
+      return respond(
+          Problem(404, "no_such_revision",
+                  fmt::format("revision {} is not kept", rollback_to)));
     }
     edit with_text = e;
     with_text.text = std::move(old);
--- a/tray/admin.h
+++ b/tray/admin.h
@@ -17,10 +17,7 @@
  public:
   admin_api(const control_context& c, const membership* members,
             config_keeper* keeper, std::string token)
-      : c_(c),
-        members_(*members),
-        keeper_(*keeper),
-        token_(std::move(token)) {}
+      : c_(c), members_(*members), keeper_(*keeper), token_(std::move(token)) {}
 
   void Handle(const http_request& r, responder respond);
 
--- a/tray/admit.cc
+++ b/tray/admit.cc
@@ -39,8 +39,8 @@
   const latency_track& latency = f.services[group.service].latency;
   micros usual = MedianOf(latency, 0);
   if (r.waiting.size == 0) return usual;
-  shard_key key = ShardKey(f.in_force->service_hashes[group.service],
-                           group.shard);
+  shard_key key =
+      ShardKey(f.in_force->service_hashes[group.service], group.shard);
   int ahead = WaitersAhead(r.waiting, key, rank);
   if (ahead == 0) return usual;
   int window = WindowOf(f, group, now);
--- a/tray/admit.h
+++ b/tray/admit.h
@@ -4,7 +4,8 @@
 // so the refusal "not run" is true and the backend servers do no wasted work.
 // Three checks, cheapest first:
 //
-//   - the host's bound on queries in hand, of which a customer may use more than
+//   - the host's bound on queries in hand, of which a customer may use more
+//   than
 //     its weighted part only while half of it is free
 //   - time: the longest expected wait of any shard plus a usual reply must fit
 //     into what is left until the deadline
--- a/tray/backend_wire.cc
+++ b/tray/backend_wire.cc
@@ -113,8 +113,7 @@
   try {
     j.at("boot").get_to(h.report.stamp.boot);
     j.at("uptime_ms").get_to(h.report.stamp.uptime_ms);
-    auto state =
-        ValueOf(kReportedStateNames, j.at("state").get<std::string>());
+    auto state = ValueOf(kReportedStateNames, j.at("state").get<std::string>());
     if (!state) return absl::DataLossError("unknown state");
     h.report.state = *state;
     h.report.cold_limit = j.value("cold_limit", 0);
@@ -123,10 +122,10 @@
       version_report report{.version = v.at("version"), .total = v.at("total")};
       v.at("shards").get_to(report.shards);
       std::sort(report.shards.begin(), report.shards.end());
-      bool sound = report.total > 0 && report.total <= kMaxShardsPerService &&
-                   (report.shards.empty() ||
-                    (report.shards.front() >= 0 &&
-                     report.shards.back() < report.total));
+      bool sound =
+          report.total > 0 && report.total <= kMaxShardsPerService &&
+          (report.shards.empty() ||
+           (report.shards.front() >= 0 && report.shards.back() < report.total));
       if (!sound || h.versions.size() >= kMaxVersions) {
         return absl::DataLossError("versions out of bounds");
       }
--- a/tray/backend_wire.h
+++ b/tray/backend_wire.h
@@ -1,6 +1,6 @@
-// The messages between the tier and backend servers, and between hosts that hand
-// requests over: HTTP headers to typed values and back. docs/BACKEND.md is the
-// page for those who write backend servers.
+// The messages between the tier and backend servers, and between hosts that
+// hand requests over: HTTP headers to typed values and back. docs/BACKEND.md is
+// the page for those who write backend servers.
 
 #ifndef TRAY_BACKEND_WIRE_H_
 #define TRAY_BACKEND_WIRE_H_
--- a/tray/budget.h
+++ b/tray/budget.h
@@ -1,8 +1,8 @@
 // A budget for extra work: hedges and retries.
 //
-// First attempts earn a fraction of a token each, an extra attempt costs one, so
-// extra load stays within that fraction of the first attempts whatever happens.
-// The store of tokens is bounded, which bounds a burst.
+// First attempts earn a fraction of a token each, an extra attempt costs one,
+// so extra load stays within that fraction of the first attempts whatever
+// happens. The store of tokens is bounded, which bounds a burst.
 
 #ifndef TRAY_BUDGET_H_
 #define TRAY_BUDGET_H_
@@ -12,9 +12,9 @@
 namespace baobabtray {
 
 struct budget {
-  double rate = 0;     // tokens earned per first attempt
-  double most = 0;     // tokens kept at most
-  double tokens = 0;   // invariant: 0 <= tokens <= most
+  double rate = 0;    // tokens earned per first attempt
+  double most = 0;    // tokens kept at most
+  double tokens = 0;  // invariant: 0 <= tokens <= most
 };
 
 inline void Earn(budget* b, int first_attempts) {
--- a/tray/callers.cc
+++ b/tray/callers.cc
@@ -30,8 +30,8 @@
   if (!j.is_number_integer()) return Invalid("'deadline_ms' must be a number");
   int64_t ms = j.get<int64_t>();
   if (ms < 1 || ms > kMaxDeadlineMs) {
-    return Invalid(fmt::format("'deadline_ms' must be from 1 to {}",
-                               kMaxDeadlineMs));
+    return Invalid(
+        fmt::format("'deadline_ms' must be from 1 to {}", kMaxDeadlineMs));
   }
   out->deadline = ms * kMillisecond;
   return absl::OkStatus();
@@ -59,8 +59,8 @@
   } else if (name == "key") {
     if (!value.is_string() || value.get<std::string>().empty() ||
         value.get<std::string>().size() > kMaxKeyBytes) {
-      return Invalid(fmt::format("'key' must be a string of 1 to {} bytes",
-                                 kMaxKeyBytes));
+      return Invalid(
+          fmt::format("'key' must be a string of 1 to {} bytes", kMaxKeyBytes));
     }
     out->key = value.get<std::string>();
   } else {
@@ -106,15 +106,16 @@
   std::string missing, results;
   for (const shard_state& s : q.shards) {
     if (s.answered) {
-      results += fmt::format(R"({}{{"service":"{}","shard":{},"result":)",
-                             results.empty() ? "" : ",", name_of(s),
-                             s.target.shard);
+      results +=
+          fmt::format(R"({}{{"service":"{}","shard":{},"result":)",
+                      results.empty() ? "" : ",", name_of(s), s.target.shard);
       results += s.body;
       results += '}';
     } else {
-      missing += fmt::format(R"({}{{"service":"{}","shard":{},"reason":"{}"}})",
-                             missing.empty() ? "" : ",", name_of(s),
-                             s.target.shard, NameOf(kMissReasonNames, s.reason));
+      missing +=
+          fmt::format(R"({}{{"service":"{}","shard":{},"reason":"{}"}})",
+                      missing.empty() ? "" : ",", name_of(s), s.target.shard,
+                      NameOf(kMissReasonNames, s.reason));
     }
   }
   return fmt::format(
--- a/tray/choose.cc
+++ b/tray/choose.cc
@@ -28,8 +28,8 @@
   return x ^ (x >> 27);
 }
 
-// Expected time until the server would answer one more request, from its running
-// mean and what is in hand there, per slot.
+// Expected time until the server would answer one more request, from its
+// running mean and what is in hand there, per slot.
 double ExpectedWait(const fleet& f, int server) {
   const server_state& s = f.servers[server];
   int slots = f.in_force->config->servers[server].slots;
@@ -133,7 +133,9 @@
                      const choice_request& request) {
   const service& owner = f.in_force->config->services[request.service];
   candidate_list with_room, without_share;
-  bool in_service = false, holds = false, may_wait = false;
+  bool in_service = false, holds = false;
+  bool may_wait = false;       // a full window will have room soon
+  bool may_come_back = false;  // a cold or held one may, later
   for (int server : owner.servers) {
     if (!IsInService(f, server)) continue;
     in_service = true;
@@ -149,8 +151,11 @@
       with_room.Add(server);
     } else if (HasNoShare(s, request.now)) {
       without_share.Add(server);
-    } else {
+    } else if (s.window.phase == window_phase::kWarm ||
+               s.window.phase == window_phase::kWarming) {
       may_wait = true;
+    } else {
+      may_come_back = true;
     }
   }
   if (with_room.size > 0) {
@@ -164,7 +169,7 @@
       return {.kind = choice_kind::kHandOver, .server = server, .host = host};
     }
   }
-  if (may_wait) return {.kind = choice_kind::kWait};
+  if (may_wait || may_come_back) return {.kind = choice_kind::kWait};
   if (without_share.size > 0) {
     // A peer's request that this host can't serve either goes back at once.
     if (!request.may_hand_over) return {.reason = miss_reason::kRefused};
--- a/tray/choose.h
+++ b/tray/choose.h
@@ -1,8 +1,9 @@
 // Picks where one shard of a query is asked next.
 //
-// A replica is eligible when operators have it in service, it is not leaving, it
-// reports the pinned index version with this shard, and it was not asked already.
-// Among eligible replicas with room one is picked by the configured mode:
+// A replica is eligible when operators have it in service, it is not leaving,
+// it reports the pinned index version with this shard, and it was not asked
+// already. Among eligible replicas with room one is picked by the configured
+// mode:
 //
 //   two_choices  two random ones of the nearest tier, the less loaded wins
 //   least_wait   the smallest expected wait over all tiers
--- a/tray/claim.cc
+++ b/tray/claim.cc
@@ -72,8 +72,7 @@
   return claim_step::kRead;
 }
 
-claim_step OnClaimRead(claim_run* run, const store_result& result,
-                       micros now) {
+claim_step OnClaimRead(claim_run* run, const store_result& result, micros now) {
   if (result.fault == store_fault::kAbsent) {
     run->store_revision = 0;
     if (now >= run->deadline) return End(run, claim_verdict::kNotRun);
--- a/tray/claim.h
+++ b/tray/claim.h
@@ -13,8 +13,8 @@
 //   // kRead:   read                            -> OnClaimRead
 //   // kDone:   run.verdict
 //
-// Afterwards the holder overwrites the claim with the outcome (kDone record) or,
-// if nothing was run, releases it, so that the caller may try again.
+// Afterwards the holder overwrites the claim with the outcome (kDone record)
+// or, if nothing was run, releases it, so that the caller may try again.
 
 #ifndef TRAY_CLAIM_H_
 #define TRAY_CLAIM_H_
@@ -44,7 +44,7 @@
 // The value under a claim's key.
 struct claim_record {
   claim_state state = claim_state::kHeld;
-  std::string token;     // of the claiming attempt
+  std::string token;  // of the claiming attempt
   std::string host;
   int64_t until_ms = 0;  // wall clock by when the holder will have answered
   std::string answer;    // kDone: JSON, or "" if it was too large to keep
@@ -69,9 +69,9 @@
   micros deadline = 0;
 
   claim_verdict verdict = claim_verdict::kNotRun;
-  claim_record record;         // kDuplicate: what is there
+  claim_record record;          // kDuplicate: what is there
   uint64_t store_revision = 0;  // of our claim, or the one to swap against
-  bool maybe_ours = false;     // kNotRun: the claim may exist and needs release
+  bool maybe_ours = false;  // kNotRun: the claim may exist and needs release
 };
 
 claim_step StartClaim(claim_run* run);
--- a/tray/claims.cc
+++ b/tray/claims.cc
@@ -56,10 +56,10 @@
   c->key = key;
   c->done = std::move(done);
   c->run.deadline = deadline;
-  c->run.ours = {.token = NewRequestId(&random_),
-                 .host = shared_.own.name,
-                 .until_ms = WallNowMs() +
-                             (deadline - SteadyNow()) / kMillisecond};
+  c->run.ours = {
+      .token = NewRequestId(&random_),
+      .host = shared_.own.name,
+      .until_ms = WallNowMs() + (deadline - SteadyNow()) / kMillisecond};
   Advance(c, StartClaim(&c->run));
 }
 
@@ -90,8 +90,8 @@
   // The first create and read go at once, later ones wait a little.
   if (++c->tries <= 2) return perform();
   micros left = c->run.deadline - SteadyNow();
-  micros delay = std::min(kClaimBackoff << std::min(c->tries - 3, 4),
-                          kMaxClaimBackoff);
+  micros delay =
+      std::min(kClaimBackoff << std::min(c->tries - 3, 4), kMaxClaimBackoff);
   After(std::max<micros>(0, std::min(delay, left)), perform);
 }
 
@@ -142,7 +142,8 @@
               });
 }
 
-// Reads the key before the next try: the write may be in, or the claim not ours.
+// Reads the key before the next try: the write may be in, or the claim not
+// ours.
 void claim_runner::CheckWritten(std::shared_ptr<settling> s) {
   if (++s->tries > kMaxSettleTries) {
     Log(log_level::kWarning, "claim_not_settled", {{"key", s->key}});
@@ -164,7 +165,8 @@
       Write(s);
       return;
     }
-    // A write without a reply may still arrive, so an absent key proves nothing.
+    // A write without a reply may still arrive, so an absent key proves
+    // nothing.
     After(kMaxClaimBackoff, [this, s] { CheckWritten(s); });
   });
 }
--- a/tray/claims.h
+++ b/tray/claims.h
@@ -30,7 +30,8 @@
  public:
   claim_runner(fetcher* http, engine* shared, asio::io_context* loop);
 
-  // Claims `key`; `done` is called once, at the latest shortly after `deadline`.
+  // Claims `key`; `done` is called once, at the latest shortly after
+  // `deadline`.
   void Claim(const std::string& key, micros deadline,
              std::function<void(claimed_key)> done);
 
--- a/tray/config.cc
+++ b/tray/config.cc
@@ -35,7 +35,8 @@
 std::string DumpConfig(const config& c) {
   json out = json::array(), recent = json::array();
   for (const place& p : c.out) {
-    out.push_back({{"kind", NameOf(kPlaceKindNames, p.kind)}, {"name", p.name}});
+    out.push_back(
+        {{"kind", NameOf(kPlaceKindNames, p.kind)}, {"name", p.name}});
   }
   for (const edit_record& e : c.recent) recent.push_back(ToJson(e));
   return json{{"revision", c.revision},
@@ -60,7 +61,8 @@
   } catch (const json::exception&) {
     return absl::DataLossError("the value is not a configuration");
   }
-  if (c.revision <= 0) return absl::DataLossError("the revision is not positive");
+  if (c.revision <= 0)
+    return absl::DataLossError("the revision is not positive");
   return c;
 }
 
--- a/tray/config.h
+++ b/tray/config.h
@@ -1,9 +1,9 @@
 // The configuration as the store keeps it: one value under one key, so that one
 // compare-and-swap orders all edits.
 //
-// It holds the whole operators' text, the places out of service, a revision that
-// grows by one with every edit, and the last edits, by which a writer whose reply
-// was lost recognises its own.
+// It holds the whole operators' text, the places out of service, a revision
+// that grows by one with every edit, and the last edits, by which a writer
+// whose reply was lost recognises its own.
 
 #ifndef TRAY_CONFIG_H_
 #define TRAY_CONFIG_H_
--- a/tray/control.cc
+++ b/tray/control.cc
@@ -52,7 +52,8 @@
 
 micros Jittered(const control_context& c, micros period) {
   return period * 3 / 4 +
-         static_cast<micros>(c.random() % static_cast<uint64_t>(period / 2 + 1));
+         static_cast<micros>(c.random() %
+                             static_cast<uint64_t>(period / 2 + 1));
 }
 
 void SendToPeer(const control_context& c, const endpoint& to,
@@ -65,8 +66,8 @@
       SignPeer(c.shared.peer_secret, signed_path, body, WallNowMs()))};
   c.shared.counters.AddControlBytes(body.size() + kMessageHead, 0);
   r.body = std::make_shared<std::string>(std::move(body));
-  c.http.Start(std::move(r), [&shared = c.shared, done = std::move(done)](
-                                 fetch_result reply) {
+  c.http.Start(std::move(r), [&shared = c.shared,
+                              done = std::move(done)](fetch_result reply) {
     shared.counters.AddControlBytes(0, reply.body.size() + kMessageHead);
     bool answered = reply.fault == fetch_fault::kNone;
     done(answered ? reply.status : 0, std::move(reply.body));
--- a/tray/control.h
+++ b/tray/control.h
@@ -34,7 +34,8 @@
 // Calls `then` on the control thread after `delay`.
 void After(const control_context& c, micros delay, std::function<void()> then);
 
-// `period` plus or minus a quarter at random, so that hosts do not march in step.
+// `period` plus or minus a quarter at random, so that hosts do not march in
+// step.
 micros Jittered(const control_context& c, micros period);
 
 // Sends a signed message to a peer; `done` gets the HTTP status (0: no answer)
--- a/tray/delta.cc
+++ b/tray/delta.cc
@@ -15,12 +15,12 @@
   size_t left = most - prefix;
   auto end = std::mismatch(from.rbegin(), from.rbegin() + left, to.rbegin());
   size_t suffix = end.first - from.rbegin();
-  return {.from = FingerprintOf(from),
-          .to = FingerprintOf(to),
-          .prefix = prefix,
-          .suffix = suffix,
-          .middle = std::string(
-              to.substr(prefix, to.size() - prefix - suffix))};
+  return {
+      .from = FingerprintOf(from),
+      .to = FingerprintOf(to),
+      .prefix = prefix,
+      .suffix = suffix,
+      .middle = std::string(to.substr(prefix, to.size() - prefix - suffix))};
 }
 
 std::optional<std::string> ApplyDelta(std::string_view base,
--- a/tray/delta.h
+++ b/tray/delta.h
@@ -1,10 +1,11 @@
 // The difference between two texts, as what stands between their common first
 // and last lines.
 //
-// Operators change a few neighbouring lines at a time, for which this is as small
-// as a general difference and needs no search: time and memory are linear. Edits
-// far apart make it larger, at worst the whole new text. Fingerprints of both
-// sides are checked, so a delta is never applied to the wrong base.
+// Operators change a few neighbouring lines at a time, for which this is as
+// small as a general difference and needs no search: time and memory are
+// linear. Edits far apart make it larger, at worst the whole new text.
+// Fingerprints of both sides are checked, so a delta is never applied to the
+// wrong base.
 
 #ifndef TRAY_DELTA_H_
 #define TRAY_DELTA_H_
@@ -17,11 +18,11 @@
 namespace baobabtray {
 
 struct text_delta {
-  std::string from;     // FingerprintOf(old text)
-  std::string to;       // FingerprintOf(new text)
-  size_t prefix = 0;    // bytes kept at the start
-  size_t suffix = 0;    // bytes kept at the end
-  std::string middle;   // what stands between
+  std::string from;    // FingerprintOf(old text)
+  std::string to;      // FingerprintOf(new text)
+  size_t prefix = 0;   // bytes kept at the start
+  size_t suffix = 0;   // bytes kept at the end
+  std::string middle;  // what stands between
 };
 
 text_delta DiffTexts(std::string_view from, std::string_view to);
--- a/tray/doc.cc
+++ b/tray/doc.cc
@@ -59,7 +59,8 @@
 
   doc_node Make(const YAML::Mark& mark, YAML::anchor_t anchor, doc_kind kind) {
     if (anchor != 0) Refuse(mark, "anchors are not allowed");
-    if (++count_ > kMaxDocNodes) Refuse(mark, "the document has too many values");
+    if (++count_ > kMaxDocNodes)
+      Refuse(mark, "the document has too many values");
     doc_node node;
     node.kind = kind;
     node.line = mark.line + 1;
@@ -103,7 +104,8 @@
   }
 
   void CheckKey(const doc_node& map, const doc_node& key) {
-    if (key.kind != doc_kind::kScalar) errors_->Add(key, "a key must be a word");
+    if (key.kind != doc_kind::kScalar)
+      errors_->Add(key, "a key must be a word");
     // Also keeps the search below linear over the whole document.
     if (map.entries.size() >= kMaxMapKeys) {
       errors_->Add(key, "the map has too many keys");
--- a/tray/doc.h
+++ b/tray/doc.h
@@ -10,8 +10,8 @@
 //   if (!errors.empty()) return errors.ToStatus();
 //
 // Errors are collected, not thrown, so one run reports all of them. Time and
-// memory are linear in the input: anchors and aliases are refused, and depth and
-// node count are bounded.
+// memory are linear in the input: anchors and aliases are refused, and depth
+// and node count are bounded.
 
 #ifndef TRAY_DOC_H_
 #define TRAY_DOC_H_
@@ -44,8 +44,8 @@
   int line = 0;
   int column = 0;
   std::string scalar;
-  std::vector<doc_node> items;                          // kList
-  std::vector<std::pair<doc_node, doc_node>> entries;   // kMap, in file order
+  std::vector<doc_node> items;                         // kList
+  std::vector<std::pair<doc_node, doc_node>> entries;  // kMap, in file order
 };
 
 // Problems found in one document, each with its place.
--- a/tray/edit.cc
+++ b/tray/edit.cc
@@ -18,14 +18,14 @@
   return edit_step::kDone;
 }
 
-edit_step EndAccepted(edit_run* run, const config& in_store,
-                      int64_t revision) {
+edit_step EndAccepted(edit_run* run, const config& in_store, int64_t revision) {
   run->revision = revision;
   run->next = in_store;
   return End(run, edit_verdict::kAccepted);
 }
 
-// The store can't tell in time. The truth depends on whether a write is unsettled.
+// The store can't tell in time. The truth depends on whether a write is
+// unsettled.
 edit_step EndWithoutStore(edit_run* run) {
   if (run->maybe_written) {
     return End(run, edit_verdict::kUnknown,
@@ -34,8 +34,8 @@
   return End(run, edit_verdict::kNotAccepted, "the store can't be reached");
 }
 
-// Fills run->next from the current configuration. Returns false with the verdict
-// set if the edit can't be made on it.
+// Fills run->next from the current configuration. Returns false with the
+// verdict set if the edit can't be made on it.
 bool BuildNext(edit_run* run) {
   const edit& e = run->wanted;
   config next = run->current;
@@ -92,7 +92,8 @@
   return true;
 }
 
-// True if an edit of ours, had it been accepted, would be among the recent ones.
+// True if an edit of ours, had it been accepted, would be among the recent
+// ones.
 bool RecentReachesBack(const edit_run& run) {
   const config& c = run.current;
   return c.recent.empty() || c.recent.size() < kRecentEdits ||
--- a/tray/edit.h
+++ b/tray/edit.h
@@ -9,11 +9,12 @@
 //   }
 //   run.verdict, run.reason, run.revision
 //
-// The verdict is exact. `accepted` is given only when the write is known to have
-// taken effect, `not_accepted` and `conflict` only when it can never take effect:
-// a lost reply is followed by reading back, where the edit's unique id shows
-// whether it is in; if the key has not moved the same write is repeated, so that
-// the first one, should it still be on its way, must fail. Otherwise `unknown`.
+// The verdict is exact. `accepted` is given only when the write is known to
+// have taken effect, `not_accepted` and `conflict` only when it can never take
+// effect: a lost reply is followed by reading back, where the edit's unique id
+// shows whether it is in; if the key has not moved the same write is repeated,
+// so that the first one, should it still be on its way, must fail. Otherwise
+// `unknown`.
 
 #ifndef TRAY_EDIT_H_
 #define TRAY_EDIT_H_
@@ -89,13 +90,13 @@
 
   edit_verdict verdict = edit_verdict::kUnknown;
   std::string reason;
-  int64_t revision = 0;         // accepted or current revision
-  config current;               // as last read
-  config next;                  // as to be written
+  int64_t revision = 0;  // accepted or current revision
+  config current;        // as last read
+  config next;           // as to be written
   std::string next_value;
-  uint64_t base_store = 0;      // store's revision that the swap expects
-  bool maybe_written = false;   // a write without a reply is unsettled
-  int attempts = 0;             // for the caller's back-off
+  uint64_t base_store = 0;     // store's revision that the swap expects
+  bool maybe_written = false;  // a write without a reply is unsettled
+  int attempts = 0;            // for the caller's back-off
 };
 
 edit_step StartEdit(edit_run* run);
--- a/tray/engine.h
+++ b/tray/engine.h
@@ -1,9 +1,9 @@
 // State that the traffic threads and the control thread of one daemon share.
 //
-// Routing state is one structure behind one lock. A decision holds the lock for a
-// few microseconds; nothing is sent, parsed or allocated in bulk under it. A lock
-// per backend server was weighed and left out: a query touches all of its servers
-// in one decision (docs/design/threads.md).
+// Routing state is one structure behind one lock. A decision holds the lock for
+// a few microseconds; nothing is sent, parsed or allocated in bulk under it. A
+// lock per backend server was weighed and left out: a query touches all of its
+// servers in one decision (docs/design/threads.md).
 
 #ifndef TRAY_ENGINE_H_
 #define TRAY_ENGINE_H_
--- a/tray/evidence.h
+++ b/tray/evidence.h
@@ -1,10 +1,11 @@
 // What is known about one backend server, and how reports are ordered.
 //
 // Every reply of a backend server carries its boot id, which grows with each
-// start, and its uptime at the moment of sending. (boot, uptime) therefore orders
-// all reports about one server, whoever passes them on and however late they
-// arrive: an older report never undoes a newer one. Health reports lag and may
-// mislead, so they may only lower trust at once; raising it is left to replies.
+// start, and its uptime at the moment of sending. (boot, uptime) therefore
+// orders all reports about one server, whoever passes them on and however late
+// they arrive: an older report never undoes a newer one. Health reports lag and
+// may mislead, so they may only lower trust at once; raising it is left to
+// replies.
 
 #ifndef TRAY_EVIDENCE_H_
 #define TRAY_EVIDENCE_H_
@@ -30,7 +31,7 @@
 
 // When, on the server's own clock, a report was made.
 struct report_stamp {
-  uint64_t boot = 0;      // 0: nothing known
+  uint64_t boot = 0;  // 0: nothing known
   uint64_t uptime_ms = 0;
 
   friend auto operator<=>(const report_stamp&, const report_stamp&) = default;
--- a/tray/fetch.cc
+++ b/tray/fetch.cc
@@ -1,8 +1,9 @@
 // libcurl's multi interface on an Asio loop. See fetch.h.
 //
-// Sockets are watched by one inner epoll set, which Asio watches in turn: a batch
-// of ready sockets costs one wake-up of the loop, and libcurl's frequent changes
-// of interest cost one epoll_ctl each. Timers of all pools share one Asio timer.
+// Sockets are watched by one inner epoll set, which Asio watches in turn: a
+// batch of ready sockets costs one wake-up of the loop, and libcurl's frequent
+// changes of interest cost one epoll_ctl each. Timers of all pools share one
+// Asio timer.
 
 #include "tray/fetch.h"
 
@@ -47,8 +48,8 @@
   while (!s.empty() && (s.front() == ' ' || s.front() == '\t')) {
     s.remove_prefix(1);
   }
-  while (!s.empty() && (s.back() == '\r' || s.back() == '\n' ||
-                        s.back() == ' ')) {
+  while (!s.empty() &&
+         (s.back() == '\r' || s.back() == '\n' || s.back() == ' ')) {
     s.remove_suffix(1);
   }
   return s;
@@ -170,7 +171,8 @@
   void Configure(transfer* t) {
     CURL* easy = t->easy;
     const fetch_request& r = t->request;
-    std::string url = fmt::format("http://{}:{}{}", r.to.host, r.to.port, r.path);
+    std::string url =
+        fmt::format("http://{}:{}{}", r.to.host, r.to.port, r.path);
     curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
     curl_easy_setopt(easy, CURLOPT_PRIVATE, t);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
@@ -198,7 +200,8 @@
       }
       std::string_view body =
           r.body == nullptr ? std::string_view() : std::string_view(*r.body);
-      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body.data() ? body.data() : "");
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS,
+                       body.data() ? body.data() : "");
       curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                        static_cast<curl_off_t>(body.size()));
       t->headers = curl_slist_append(t->headers, "Expect:");
@@ -209,8 +212,7 @@
       t->headers = curl_slist_append(t->headers, h.c_str());
     }
     if (!r.attempt_id.empty()) {
-      std::string line =
-          fmt::format("{}: {}", kAttemptIdHeader, r.attempt_id);
+      std::string line = fmt::format("{}: {}", kAttemptIdHeader, r.attempt_id);
       t->headers = curl_slist_append(t->headers, line.c_str());
     }
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, t->headers);
@@ -301,8 +303,8 @@
     micros at = timers_.begin()->first;
     if (armed_at_ != 0 && armed_at_ <= at) return;
     armed_at_ = at;
-    timer_.expires_at(std::chrono::steady_clock::time_point(
-        std::chrono::microseconds(at)));
+    timer_.expires_at(
+        std::chrono::steady_clock::time_point(std::chrono::microseconds(at)));
     timer_.async_wait([this](std::error_code error) {
       if (error) return;
       armed_at_ = 0;
@@ -334,8 +336,8 @@
 
   void RunEvents() {
     std::array<epoll_event, kEventsPerRound> events;
-    int count = epoll_wait(epoll_.native_handle(), events.data(),
-                           kEventsPerRound, 0);
+    int count =
+        epoll_wait(epoll_.native_handle(), events.data(), kEventsPerRound, 0);
     for (int i = 0; i < count; ++i) {
       auto found = watched_.find(events[i].data.fd);
       if (found == watched_.end()) continue;
--- a/tray/fetch.h
+++ b/tray/fetch.h
@@ -6,13 +6,13 @@
 //                              [](fetch_result r) { ... });
 //   client.Cancel(id);   // closes that connection; the callback is not called
 //
-// Every origin has a connection pool (a CURLM) of its own, so that the number of
-// connections to it, idle ones included, is bounded exactly and can be lowered
-// while running. All calls and callbacks happen on the loop's thread.
+// Every origin has a connection pool (a CURLM) of its own, so that the number
+// of connections to it, idle ones included, is bounded exactly and can be
+// lowered while running. All calls and callbacks happen on the loop's thread.
 //
 // libcurl sends a request again by itself when a reused connection dies before
-// the first byte of the reply, POST included. A request with `fresh` set goes on
-// a new connection that is not reused, for which libcurl does not do that.
+// the first byte of the reply, POST included. A request with `fresh` set goes
+// on a new connection that is not reused, for which libcurl does not do that.
 
 #ifndef TRAY_FETCH_H_
 #define TRAY_FETCH_H_
@@ -45,7 +45,7 @@
   std::string method = "POST";
   endpoint to;
   std::string path = "/";
-  std::vector<std::string> headers;        // "Name: value"
+  std::vector<std::string> headers;         // "Name: value"
   std::shared_ptr<const std::string> body;  // may be null
   micros timeout = 1 * kSecond;
   bool fresh = false;      // on a connection of its own, never resent
--- a/tray/fleet.cc
+++ b/tray/fleet.cc
@@ -70,8 +70,8 @@
 
 }  // namespace
 
-void AdoptView(fleet* f, std::shared_ptr<const view> next,
-               const location& here, micros now) {
+void AdoptView(fleet* f, std::shared_ptr<const view> next, const location& here,
+               micros now) {
   const text& t = *next->config;
   std::vector<server_state> servers(t.servers.size());
   std::vector<service_state> services(t.services.size());
@@ -95,10 +95,9 @@
 
 void AdoptHosts(fleet* f, std::vector<fleet_host> hosts,
                 std::string_view self_name, micros now) {
-  std::sort(hosts.begin(), hosts.end(),
-            [](const fleet_host& a, const fleet_host& b) {
-              return a.name < b.name;
-            });
+  std::sort(
+      hosts.begin(), hosts.end(),
+      [](const fleet_host& a, const fleet_host& b) { return a.name < b.name; });
   f->hosts = std::move(hosts);
   f->settled_at = now + f->settle;
   f->self = -1;
--- a/tray/fleet.h
+++ b/tray/fleet.h
@@ -62,18 +62,19 @@
 
 struct fleet {
   std::shared_ptr<const view> in_force;
-  std::vector<server_state> servers;   // by position in text::servers
+  std::vector<server_state> servers;    // by position in text::servers
   std::vector<service_state> services;  // by position in text::services
-  std::vector<fleet_host> hosts;       // live hosts, sorted by name
-  int self = -1;                       // position in `hosts`
+  std::vector<fleet_host> hosts;        // live hosts, sorted by name
+  int self = -1;                        // position in `hosts`
   micros settle = kShareSettle;
-  micros settled_at = 0;  // when shares by the last change of hosts are in force
+  micros settled_at =
+      0;  // when shares by the last change of hosts are in force
 };
 
-// Puts a new view in force. State of servers that both views have is kept, found
-// by name and address.
-void AdoptView(fleet* f, std::shared_ptr<const view> next,
-               const location& here, micros now);
+// Puts a new view in force. State of servers that both views have is kept,
+// found by name and address.
+void AdoptView(fleet* f, std::shared_ptr<const view> next, const location& here,
+               micros now);
 
 // Recomputes owners and shares for a changed live set.
 void AdoptHosts(fleet* f, std::vector<fleet_host> hosts,
--- a/tray/health.h
+++ b/tray/health.h
@@ -2,9 +2,9 @@
 // of: index versions, which replies do not list, and signs of life from servers
 // that get no requests. What health says is never trusted over replies.
 //
-// At most kMaxHealthPerSecond reads a second, whatever the text holds. Each server
-// is read every kHealthPeriod, and at once when a reply named an unknown version
-// or when nothing is known of it.
+// At most kMaxHealthPerSecond reads a second, whatever the text holds. Each
+// server is read every kHealthPeriod, and at once when a reply named an unknown
+// version or when nothing is known of it.
 
 #ifndef TRAY_HEALTH_H_
 #define TRAY_HEALTH_H_
--- a/tray/hedge.h
+++ b/tray/hedge.h
@@ -3,7 +3,8 @@
 // Two ways, measured against each other in docs/design/hedging.md:
 //
 //   quantile  every shard that is older than the 95th percentile of its service
-//   last_few  only when few shards of the query are unanswered, but then already
+//   last_few  only when few shards of the query are unanswered, but then
+//   already
 //             at twice the median: a query is as slow as its last shard, so the
 //             budget goes where one hedge still saves the whole query
 //
--- a/tray/keeper.cc
+++ b/tray/keeper.cc
@@ -129,8 +129,7 @@
 
 void config_keeper::Spread(const config& base) {
   std::string body = DumpConfigMessage(MakeConfigMessage(current(), &base));
-  std::string path =
-      "/peer/config?from=" + ToString(members_.self.peers);
+  std::string path = "/peer/config?from=" + ToString(members_.self.peers);
   for (const member& m : PickLive(members_, kRumourFanOut, &c_.random)) {
     SendToPeer(c_, m.peers, path, body, [](int, std::string) {});
   }
@@ -168,8 +167,7 @@
 void config_keeper::Pull(const endpoint& peer) {
   if (pulling_) return;
   pulling_ = true;
-  std::string path =
-      fmt::format("/peer/fetch?have={}", current().revision);
+  std::string path = fmt::format("/peer/fetch?have={}", current().revision);
   SendToPeer(c_, peer, path, "{}", [this](int status, std::string body) {
     pulling_ = false;
     if (status != 200) return;
@@ -261,7 +259,8 @@
   }
 }
 
-// Keeps the text under a key of its own. Best effort: the history is for people.
+// Keeps the text under a key of its own. Best effort: the history is for
+// people.
 void config_keeper::KeepHistory() {
   const config& c = current();
   c_.store.Swap(std::string(kHistoryPrefix) + std::to_string(c.revision), 0,
--- a/tray/keeper.h
+++ b/tray/keeper.h
@@ -1,9 +1,9 @@
 // Keeps the configuration in force on this host.
 //
-// Revisions only go up. A new one comes from the store (a watch on a few hosts per
-// data centre, a slow read on the others), from a peer's rumour, or from a digest
-// that names a higher revision. Whatever its source it is checked, put in force,
-// and passed on to kRumourFanOut random peers as a difference.
+// Revisions only go up. A new one comes from the store (a watch on a few hosts
+// per data centre, a slow read on the others), from a peer's rumour, or from a
+// digest that names a higher revision. Whatever its source it is checked, put
+// in force, and passed on to kRumourFanOut random peers as a difference.
 //
 // Operators' edits go through edit.h against the store.
 
--- a/tray/latency.h
+++ b/tray/latency.h
@@ -1,10 +1,10 @@
 // Recent latencies as a decaying histogram with logarithmic buckets.
 //
-// Quantiles rather than a mean and deviation: with one reply in twenty ten times
-// slower, mean plus four deviations lies beyond the slow replies and a hedge set
-// there comes too late. 130 bytes. Adding is O(1) amortised: the two quantiles that
-// are used are recomputed every kRefresh values. They are exact to within a
-// quarter.
+// Quantiles rather than a mean and deviation: with one reply in twenty ten
+// times slower, mean plus four deviations lies beyond the slow replies and a
+// hedge set there comes too late. 130 bytes. Adding is O(1) amortised: the two
+// quantiles that are used are recomputed every kRefresh values. They are exact
+// to within a quarter.
 
 #ifndef TRAY_LATENCY_H_
 #define TRAY_LATENCY_H_
--- a/tray/log.cc
+++ b/tray/log.cc
@@ -31,9 +31,9 @@
   if (level < g_level.load(std::memory_order_relaxed)) return;
   auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
-  std::string line = fmt::format(
-      R"({{"time":"{:%FT%T}Z","level":"{}","event":{})", now,
-      NameOf(kLogLevelNames, level), Quoted(event));
+  std::string line =
+      fmt::format(R"({{"time":"{:%FT%T}Z","level":"{}","event":{})", now,
+                  NameOf(kLogLevelNames, level), Quoted(event));
   for (const log_field& field : fields) {
     line += fmt::format(",\"{}\":{}", field.name, Quoted(field.value));
   }
--- a/tray/log.h
+++ b/tray/log.h
@@ -2,9 +2,9 @@
 //
 //   Log(log_level::kInfo, "query", {{"id", id}, {"outcome", "complete"}});
 //
-// prints {"time":"...","level":"info","event":"query","id":"...",...}. The level
-// can be changed while running. Safe from any thread; a line is written by one
-// call, so lines never mix.
+// prints {"time":"...","level":"info","event":"query","id":"...",...}. The
+// level can be changed while running. Safe from any thread; a line is written
+// by one call, so lines never mix.
 
 #ifndef TRAY_LOG_H_
 #define TRAY_LOG_H_
--- a/tray/members.cc
+++ b/tray/members.cc
@@ -24,7 +24,8 @@
 }
 
 bool IsReachable(const member& m) {
-  return m.status == member_status::kLive || m.status == member_status::kSuspect;
+  return m.status == member_status::kLive ||
+         m.status == member_status::kSuspect;
 }
 
 void SetStatus(const membership& ms, known_member* k, member_status status,
--- a/tray/members.h
+++ b/tray/members.h
@@ -1,16 +1,17 @@
 // Which hosts of the tier are live, at a constant cost per host.
 //
-// Each round a host exchanges a digest with one random peer. A digest carries the
-// sender, a bounded number of recent changes, and answers in kind. A peer that does
-// not answer becomes suspect; unless it refutes that within kSuspectTime by a
-// higher incarnation it counts as dead. A change is passed on a number of times
-// that grows with the logarithm of the fleet. Messages per host and second are
-// constant; a change reaches all hosts in a logarithmic number of rounds.
+// Each round a host exchanges a digest with one random peer. A digest carries
+// the sender, a bounded number of recent changes, and answers in kind. A peer
+// that does not answer becomes suspect; unless it refutes that within
+// kSuspectTime by a higher incarnation it counts as dead. A change is passed on
+// a number of times that grows with the logarithm of the fleet. Messages per
+// host and second are constant; a change reaches all hosts in a logarithmic
+// number of rounds.
 //
 // The platform's host list and the settings' seeds only say whom to try. A host
-// counts as live after direct contact or by another host's word, and stays in the
-// division of shares for kShareMemory after its death, so that hosts that are cut
-// from each other do not both take over its shares at once.
+// counts as live after direct contact or by another host's word, and stays in
+// the division of shares for kShareMemory after its death, so that hosts that
+// are cut from each other do not both take over its shares at once.
 
 #ifndef TRAY_MEMBERS_H_
 #define TRAY_MEMBERS_H_
@@ -78,8 +79,9 @@
 // Changes to put into the next digest, fewest left sends last.
 std::vector<member> TakeChanges(membership* ms);
 
-// The address to exchange the next digest with: mostly a live peer, now and then
-// a seed or a dead host, which heals a split. Nothing if this host is alone.
+// The address to exchange the next digest with: mostly a live peer, now and
+// then a seed or a dead host, which heals a split. Nothing if this host is
+// alone.
 std::optional<endpoint> PickPeer(const membership& ms, std::mt19937_64* random);
 
 // Up to `count` distinct live peers at random.
--- a/tray/metrics.cc
+++ b/tray/metrics.cc
@@ -63,8 +63,8 @@
           .Name("baobabtray_query_seconds")
           .Help("Time from a query's arrival to its answer")
           .Register(registry);
-  Family<Counter>& asked = CounterFamily(
-      &registry, "baobabtray_shards_total", "Shards that answers had to cover");
+  Family<Counter>& asked = CounterFamily(&registry, "baobabtray_shards_total",
+                                         "Shards that answers had to cover");
   Family<Counter>& answered =
       CounterFamily(&registry, "baobabtray_shards_answered_total",
                     "Shards that answers did cover");
@@ -75,17 +75,16 @@
       &registry, "baobabtray_attempts_total", "Attempts by kind and result");
   Family<Counter>& store_calls = CounterFamily(
       &registry, "baobabtray_store_calls_total", "Calls to the store");
-  Gauge& in_flight = OneGauge(&registry, "baobabtray_queries_in_flight",
-                              "Queries in hand");
+  Gauge& in_flight =
+      OneGauge(&registry, "baobabtray_queries_in_flight", "Queries in hand");
   Gauge& waiting = OneGauge(&registry, "baobabtray_shards_waiting",
                             "Shard requests that wait for room");
   Gauge& revision = OneGauge(&registry, "baobabtray_config_revision",
                              "Revision of the configuration in force");
   Gauge& hosts =
       OneGauge(&registry, "baobabtray_hosts_live", "Live hosts, this included");
-  Gauge& control_seconds =
-      OneGauge(&registry, "baobabtray_control_cpu_seconds",
-               "Processor time of the control thread");
+  Gauge& control_seconds = OneGauge(&registry, "baobabtray_control_cpu_seconds",
+                                    "Processor time of the control thread");
   Counter& sent = OneCounter(&registry, "baobabtray_control_sent_bytes_total",
                              "Bytes of control messages sent");
   Counter& received =
--- a/tray/peer_talk.cc
+++ b/tray/peer_talk.cc
@@ -123,9 +123,8 @@
   auto found = f.in_force->config->server_by_name.find(item.server);
   if (found == f.in_force->config->server_by_name.end()) return;
   server_state& s = f.servers[found->second];
-  server_report report{.stamp = item.stamp,
-                       .state = item.state,
-                       .cold_limit = item.cold_limit};
+  server_report report{
+      .stamp = item.stamp, .state = item.state, .cold_limit = item.cold_limit};
   OnReport(&s.window, report_source::kPeer, report, now);
   if (item.stamp > s.versions_stamp && !item.versions.empty()) {
     s.versions = item.versions;
--- a/tray/peer_wire.cc
+++ b/tray/peer_wire.cc
@@ -44,12 +44,9 @@
   for (const version_report& v : e.versions) {
     versions.push_back({v.version, v.total, v.shards});
   }
-  return {{"n", e.server},
-          {"b", e.stamp.boot},
-          {"u", e.stamp.uptime_ms},
-          {"s", NameOf(kReportedStateNames, e.state)},
-          {"c", e.cold_limit},
-          {"v", versions}};
+  return {{"n", e.server},          {"b", e.stamp.boot},
+          {"u", e.stamp.uptime_ms}, {"s", NameOf(kReportedStateNames, e.state)},
+          {"c", e.cold_limit},      {"v", versions}};
 }
 
 evidence_item EvidenceFrom(const json& j) {
@@ -124,8 +121,7 @@
   json j = json::parse(text, nullptr, false);
   config_message m;
   try {
-    absl::StatusOr<config> meta =
-        ParseConfig(j.at("meta").get<std::string>());
+    absl::StatusOr<config> meta = ParseConfig(j.at("meta").get<std::string>());
     if (!meta.ok()) return meta.status();
     m.meta = *std::move(meta);
     j.at("base").get_to(m.base);
@@ -133,8 +129,11 @@
       j.at("whole").get_to(m.whole);
     } else {
       const json& d = j.at("delta");
-      m.delta = {.from = d.at(0), .to = d.at(1), .prefix = d.at(2),
-                 .suffix = d.at(3), .middle = d.at(4)};
+      m.delta = {.from = d.at(0),
+                 .to = d.at(1),
+                 .prefix = d.at(2),
+                 .suffix = d.at(3),
+                 .middle = d.at(4)};
     }
   } catch (const json::exception&) {
     return absl::InvalidArgumentError("not a configuration message");
@@ -185,8 +184,7 @@
 }
 
 bool CheckPeer(std::string_view secret, std::string_view path,
-               std::string_view body, std::string_view header,
-               int64_t now_ms) {
+               std::string_view body, std::string_view header, int64_t now_ms) {
   if (secret.empty()) return true;
   size_t dot = header.find('.');
   if (dot == std::string_view::npos) return false;
--- a/tray/peer_wire.h
+++ b/tray/peer_wire.h
@@ -1,8 +1,8 @@
 // Messages between hosts of the tier: JSON bodies, signed with a shared secret.
 //
-// A message carries an HMAC-SHA256 over its path, its time and its body. A message
-// that is malformed, wrongly signed or too old is refused and logged; nothing of
-// it is believed. Bodies are bounded by the server's limit.
+// A message carries an HMAC-SHA256 over its path, its time and its body. A
+// message that is malformed, wrongly signed or too old is refused and logged;
+// nothing of it is believed. Bodies are bounded by the server's limit.
 
 #ifndef TRAY_PEER_WIRE_H_
 #define TRAY_PEER_WIRE_H_
@@ -48,7 +48,7 @@
 
 // A configuration on its way to a peer: whole, or as a difference to `base`.
 struct config_message {
-  config meta;  // without its text; recent edits after `base` only
+  config meta;       // without its text; recent edits after `base` only
   int64_t base = 0;  // 0: `whole` is set
   text_delta delta;
   std::string whole;
--- a/tray/query.cc
+++ b/tray/query.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <utility>
 
-
 namespace baobabtray {
 namespace {
 
@@ -67,8 +66,7 @@
   actions->freed.push_back(a->server);
 }
 
-void CancelAll(routing* r, shard_state* s, micros now,
-               query_actions* actions) {
+void CancelAll(routing* r, shard_state* s, micros now, query_actions* actions) {
   for (attempt_state& a : s->attempts) {
     if (a.open) CancelAttempt(r, &a, now, actions);
   }
@@ -185,8 +183,7 @@
     return ask_result::kImpossible;
   }
   choice to = Choose(r, *q, s, false, false, now);
-  if (to.kind == choice_kind::kNone &&
-      to.reason == miss_reason::kUnreachable) {
+  if (to.kind == choice_kind::kNone && to.reason == miss_reason::kUnreachable) {
     to = Choose(r, *q, s, false, true, now);
   }
   switch (to.kind) {
@@ -240,9 +237,11 @@
   return PickSnapshot(r.servers, ReachableServices(TextOf(r), q.spec.service));
 }
 
-// Starts over on another version if that promises as much as the pinned one did.
+// Starts over on another version if that promises as much as the pinned one
+// did.
 bool Restart(routing* r, query* q, micros now, query_actions* actions) {
-  if (!q->spec.idempotent || q->spec.pinned || q->spec.service < 0) return false;
+  if (!q->spec.idempotent || q->spec.pinned || q->spec.service < 0)
+    return false;
   if (q->restarts >= kMaxRestarts) return false;
   std::optional<snapshot> next = Pin(*r, *q);
   if (!next || next->version == q->version) return false;
@@ -324,8 +323,8 @@
     return;
   }
   if (end == attempt_end::kVersionGone) {
-    bool elsewhere = Choose(r, *q, s, false, false, now).kind !=
-                     choice_kind::kNone;
+    bool elsewhere =
+        Choose(r, *q, s, false, false, now).kind != choice_kind::kNone;
     if (!elsewhere) {
       if (!Restart(r, q, now, actions)) {
         GiveUp(r, q, &s, miss_reason::kVersionGone);
@@ -431,8 +430,7 @@
 micros RetryIfSilent(routing* r, query* q, int slot, micros now,
                      query_actions* actions) {
   shard_state& s = q->shards[slot];
-  const latency_track& latency =
-      r->servers.services[s.target.service].latency;
+  const latency_track& latency = r->servers.services[s.target.service].latency;
   attempt_state& last = s.attempts.back();
   // A peer may hold a request back for a while before it sends it on.
   micros bound = SilenceBound(latency) * (last.handed_over ? 2 : 1);
@@ -469,8 +467,8 @@
   if (!q->finished) OnQueryTimer(r, q, now, true, actions);
 }
 
-void OnAttemptEnd(routing* r, query* q, uint64_t attempt,
-                  attempt_result result, micros now, query_actions* actions) {
+void OnAttemptEnd(routing* r, query* q, uint64_t attempt, attempt_result result,
+                  micros now, query_actions* actions) {
   Rebase(*r, q);
   int slot = -1;
   attempt_state* found = FindAttempt(q, attempt, &slot);
@@ -519,8 +517,10 @@
     if (!HasOpenAttempt(s)) continue;
     if (paused) {
       // Replies that came during the pause are read first.
-      next = std::min(next, now + HedgeDelay(r->hedging,
-                          r->servers.services[s.target.service].latency));
+      next = std::min(
+          next,
+          now + HedgeDelay(r->hedging,
+                           r->servers.services[s.target.service].latency));
       continue;
     }
     if (r->hedging != hedge_mode::kOff && MayHedgeShard(*q, s)) {
@@ -543,8 +543,7 @@
   // Normally taken already; not so if the query restarted in between.
   DropWaiter(&r->waiting, s.ticket);
   s.waiting = false;
-  attempt_kind kind =
-      s.sent == 0 ? attempt_kind::kFirst : attempt_kind::kRetry;
+  attempt_kind kind = s.sent == 0 ? attempt_kind::kFirst : attempt_kind::kRetry;
   Ask(r, q, slot, kind, now, actions);
   FinishIfDone(r, q, now, actions);
 }
--- a/tray/query.h
+++ b/tray/query.h
@@ -83,18 +83,18 @@
 
 struct attempt_result {
   attempt_end end = attempt_end::kBroken;
-  bool has_report = false;   // `report` is filled in
+  bool has_report = false;  // `report` is filled in
   server_report report;
-  int server = -1;           // position of the server that a peer asked for us
-  uint64_t version = 0;      // index version that the reply is stamped with
-  uint64_t newest = 0;       // newest version the server holds; 0: not said
-  std::string body;          // raw JSON of an answer
+  int server = -1;       // position of the server that a peer asked for us
+  uint64_t version = 0;  // index version that the reply is stamped with
+  uint64_t newest = 0;   // newest version the server holds; 0: not said
+  std::string body;      // raw JSON of an answer
 };
 
 struct attempt_state {
   uint64_t id = 0;
   attempt_kind kind = attempt_kind::kFirst;
-  int server = -1;       // position in the text in force; -1 if it is gone
+  int server = -1;  // position in the text in force; -1 if it is gone
   bool handed_over = false;
   bool open = true;
   bool not_run = false;  // proven by how it ended
@@ -108,8 +108,8 @@
   bool given_up = false;
   bool waiting = false;
   waiter_ticket ticket;
-  micros retry_at = 0;   // 0: no retry is due
-  int sent = 0;          // attempts so far
+  micros retry_at = 0;  // 0: no retry is due
+  int sent = 0;         // attempts so far
   miss_reason reason = miss_reason::kLate;
   absl::InlinedVector<attempt_state, 2> attempts;
   std::string body;      // raw JSON of the answer
@@ -152,7 +152,7 @@
   uint64_t version = 0;
   std::vector<shard_state> shards;
   int answered = 0;
-  int settled = 0;     // answered or given up
+  int settled = 0;  // answered or given up
   int restarts = 0;
   bool ran_earlier = false;  // an attempt before a restart may have run
   bool finished = false;
@@ -164,8 +164,8 @@
   uint64_t attempt = 0;
   int slot = 0;
   attempt_kind kind = attempt_kind::kFirst;
-  int server = -1;   // direct: position in the text in force
-  int host = -1;     // handed over: position in fleet::hosts
+  int server = -1;  // direct: position in the text in force
+  int host = -1;    // handed over: position in fleet::hosts
   micros timeout = 0;
 };
 
@@ -184,8 +184,8 @@
 
 // The end of an attempt. Updates what is known about the server in every case,
 // also when the query is finished or the attempt was cancelled meanwhile.
-void OnAttemptEnd(routing* r, query* q, uint64_t attempt,
-                  attempt_result result, micros now, query_actions* actions);
+void OnAttemptEnd(routing* r, query* q, uint64_t attempt, attempt_result result,
+                  micros now, query_actions* actions);
 
 // Hedges, retries, gives up silent attempts and ends the query, as is due.
 // `paused`: this host itself stood still, so overdue replies mean nothing.
@@ -193,8 +193,7 @@
                   query_actions* actions);
 
 // Room came free for the waiting shard `slot`.
-void OnRoom(routing* r, query* q, int slot, micros now,
-            query_actions* actions);
+void OnRoom(routing* r, query* q, int slot, micros now, query_actions* actions);
 
 // Ends the query now, as at its deadline.
 void AbortQuery(routing* r, query* q, micros now, query_actions* actions);
--- a/tray/serve.h
+++ b/tray/serve.h
@@ -54,10 +54,10 @@
 
 struct serve_options {
   endpoint listen;
-  bool share_port = false;        // several loops listen on the same port
-  size_t max_body = 1 << 20;      // larger bodies get 413
-  size_t max_head = 16 << 10;     // larger heads get 431
-  int message_seconds = 30;       // time for a request to arrive, idle included
+  bool share_port = false;     // several loops listen on the same port
+  size_t max_body = 1 << 20;   // larger bodies get 413
+  size_t max_head = 16 << 10;  // larger heads get 431
+  int message_seconds = 30;    // time for a request to arrive, idle included
   size_t max_connections = 4096;
 };
 
--- a/tray/settings.cc
+++ b/tray/settings.cc
@@ -74,8 +74,8 @@
   s.level = ReadWord(&map, "log_level", kLogLevelNames, s.level, &errors);
   s.admin_token_file = map.String("admin_token_file", "");
   s.peer_secret_file = map.String("peer_secret_file", "");
-  s.choice = ReadWord(&map, "replica_choice", kChoiceModeNames, s.choice,
-                      &errors);
+  s.choice =
+      ReadWord(&map, "replica_choice", kChoiceModeNames, s.choice, &errors);
   s.hedging = ReadWord(&map, "hedging", kHedgeModeNames, s.hedging, &errors);
   s.drain_ms =
       static_cast<int>(map.Number("drain_ms", {0, 600'000}, s.drain_ms));
--- a/tray/settings.h
+++ b/tray/settings.h
@@ -39,10 +39,10 @@
   std::string name;         // unique among hosts
   std::string data_centre;  // one that the operators' text lists
   std::string region;
-  endpoint callers;  // listener for queries
-  endpoint peers;    // listener for other hosts
-  endpoint admin;    // listener for operators
-  endpoint store;    // the platform's key-value service
+  endpoint callers;             // listener for queries
+  endpoint peers;               // listener for other hosts
+  endpoint admin;               // listener for operators
+  endpoint store;               // the platform's key-value service
   std::vector<endpoint> seeds;  // peers to try first; may be empty
   int threads = 1;              // for traffic
   log_level level = log_level::kInfo;
--- a/tray/shares.h
+++ b/tray/shares.h
@@ -8,8 +8,8 @@
 // request to an owner.
 //
 // Cost: one pass over the hosts per server. Views of the live set differ for a
-// moment when a host comes or goes; window.h lowers a share at once and raises it
-// only after a delay, so that the sum stays bounded meanwhile.
+// moment when a host comes or goes; window.h lowers a share at once and raises
+// it only after a delay, so that the sum stays bounded meanwhile.
 
 #ifndef TRAY_SHARES_H_
 #define TRAY_SHARES_H_
--- a/tray/snapshot.cc
+++ b/tray/snapshot.cc
@@ -72,7 +72,8 @@
       totals.push_back(cut.total);
     }
     // Compared as fractions, since versions may differ in their totals.
-    bool better = !best || int64_t{answerable} * static_cast<int64_t>(best->shards.size()) >
+    bool better = !best || int64_t{answerable} *
+                                   static_cast<int64_t>(best->shards.size()) >
                                int64_t{best->answerable} * total;
     if (!better) continue;
     best = snapshot{.version = version, .answerable = answerable};
--- a/tray/snapshot.h
+++ b/tray/snapshot.h
@@ -3,8 +3,8 @@
 // Backend servers report which versions they hold and how their service is cut
 // into shards in each. The query is pinned to the newest version of which every
 // shard of every service can be answered, else to the one with most shards
-// answerable. The shards that count for coverage are those of that version, also
-// where no server can answer them.
+// answerable. The shards that count for coverage are those of that version,
+// also where no server can answer them.
 //
 // Cost: linear in the servers of the services touched, times the few versions.
 
--- a/tray/standin/backend.h
+++ b/tray/standin/backend.h
@@ -29,20 +29,20 @@
 // are of requests.
 struct backend_behaviour {
   int service_us = 2000;
-  double straggle = 0;        // fraction that is slower
+  double straggle = 0;  // fraction that is slower
   double straggle_factor = 10;
-  double shed = 0;            // fraction refused, saying "not run"
-  double fail = 0;            // fraction failed after running, 500
-  double reset = 0;           // fraction reset before or after running
-  double cut = 0;             // fraction of replies cut short, after running
-  double silent = 0;          // fraction of requests that silence a connection
-  double crossed = 0;         // fraction of replies with another id
-  double mixed = 0;           // fraction of replies from another version
-  double doubled = 0;         // fraction of replies sent twice
-  int warm_after = 20;        // clean requests that end a cold start
-  int cold_factor = 5;        // how much slower while cold
-  int health_lag_ms = 0;      // health reports are this old
-  bool health_lies = false;   // health always says ready
+  double shed = 0;           // fraction refused, saying "not run"
+  double fail = 0;           // fraction failed after running, 500
+  double reset = 0;          // fraction reset before or after running
+  double cut = 0;            // fraction of replies cut short, after running
+  double silent = 0;         // fraction of requests that silence a connection
+  double crossed = 0;        // fraction of replies with another id
+  double mixed = 0;          // fraction of replies from another version
+  double doubled = 0;        // fraction of replies sent twice
+  int warm_after = 20;       // clean requests that end a cold start
+  int cold_factor = 5;       // how much slower while cold
+  int health_lag_ms = 0;     // health reports are this old
+  bool health_lies = false;  // health always says ready
   bool draining = false;
 };
 
@@ -50,12 +50,12 @@
 struct backend_ledger {
   uint64_t received = 0;
   uint64_t ran = 0;
-  uint64_t refused = 0;        // said not run
-  uint64_t expired = 0;        // dropped: deadline passed while queued
+  uint64_t refused = 0;  // said not run
+  uint64_t expired = 0;  // dropped: deadline passed while queued
   uint64_t cancelled = 0;
   int most_in_flight = 0;
-  int most_cold = 0;           // in flight while cold
-  uint64_t cold_excess = 0;    // arrivals beyond the cold limit
+  int most_cold = 0;                     // in flight while cold
+  uint64_t cold_excess = 0;              // arrivals beyond the cold limit
   uint64_t cold_excess_after_reply = 0;  // of those after a reply showed it
   micros last_new_work = 0;
   // Non-idempotent requests run, by their body.
--- a/tray/standin/backends_main.cc
+++ b/tray/standin/backends_main.cc
@@ -125,15 +125,15 @@
   absl::StatusOr<text> parsed = ParseText(yaml.str());
   absl::StatusOr<endpoint> address = ParseEndpoint(control.getValue());
   if (!parsed.ok() || !address.ok()) {
-    fmt::print(stderr, "{}\n", MessageOf(parsed.ok() ? address.status()
-                                                     : parsed.status()));
+    fmt::print(stderr, "{}\n",
+               MessageOf(parsed.ok() ? address.status() : parsed.status()));
     return 1;
   }
   asio::io_context loop(1);
   backend_list all;
   for (size_t i = 0; i < parsed->servers.size(); ++i) {
-    all.push_back(std::make_unique<backend>(loop, *parsed,
-                                            static_cast<int>(i), i + 1));
+    all.push_back(
+        std::make_unique<backend>(loop, *parsed, static_cast<int>(i), i + 1));
     all.back()->behaviour.service_us = service_us.getValue();
     all.back()->Start(cold.getValue());
   }
--- a/tray/standin/store_main.cc
+++ b/tray/standin/store_main.cc
@@ -85,9 +85,8 @@
         ParseNumber<uint64_t>(r.Field("if_revision")).value_or(0);
     auto found = keys_.find(key);
     uint64_t current = found == keys_.end() ? 0 : found->second.revision;
-    bool lost = drop_replies_ > 0 &&
-                std::uniform_real_distribution<double>(0, 1)(random_) <
-                    drop_replies_;
+    bool lost = drop_replies_ > 0 && std::uniform_real_distribution<double>(
+                                         0, 1)(random_) < drop_replies_;
     if (current != expected) {
       if (lost) return c->Reset();
       return c->Reply(409, {{"X-Revision", std::to_string(current)}}, "");
@@ -152,9 +151,7 @@
   json Ledger() const {
     json keys = json::object();
     for (const auto& [key, e] : keys_) keys[key] = e.revision;
-    return {{"calls", calls_},
-            {"keys", keys},
-            {"watching", watchers_.size()}};
+    return {{"calls", calls_}, {"keys", keys}, {"watching", watchers_.size()}};
   }
 
   asio::io_context& loop_;
--- a/tray/standin/wire.cc
+++ b/tray/standin/wire.cc
@@ -183,7 +183,8 @@
   acceptor_.async_accept([this](std::error_code error,
                                 asio::ip::tcp::socket socket) {
     if (error) return;
-    auto connection = std::make_shared<wire_connection>(this, std::move(socket));
+    auto connection =
+        std::make_shared<wire_connection>(this, std::move(socket));
     connection->id_ = ++accepted_connections;
     bool over = most_connections > 0 &&
                 connections_.size() >= static_cast<size_t>(most_connections);
--- a/tray/standin/wire.h
+++ b/tray/standin/wire.h
@@ -82,8 +82,8 @@
   std::array<char, 16384> buffer_;
 };
 
-using wire_handler = std::function<void(std::shared_ptr<wire_connection>,
-                                        const wire_request&)>;
+using wire_handler =
+    std::function<void(std::shared_ptr<wire_connection>, const wire_request&)>;
 
 class wire_server {
  public:
--- a/tray/store_client.cc
+++ b/tray/store_client.cc
@@ -32,8 +32,8 @@
 void store_client::Call(std::string_view name, fetch_request request,
                         store_callback done) {
   request.to = store_;
-  http_.Start(std::move(request), [this, name, done = std::move(done)](
-                                      fetch_result reply) {
+  http_.Start(std::move(request), [this, name,
+                                   done = std::move(done)](fetch_result reply) {
     store_result result;
     result.fault = FaultOf(reply);
     result.revision =
@@ -74,8 +74,7 @@
 
 void store_client::ListHosts(
     std::function<void(std::vector<listed_host>)> done) {
-  Call("hosts",
-       {.method = "GET", .path = "/v1/hosts", .timeout = kCallTimeout},
+  Call("hosts", {.method = "GET", .path = "/v1/hosts", .timeout = kCallTimeout},
        [done = std::move(done)](store_result result) {
          std::vector<listed_host> hosts;
          nlohmann::json list =
--- a/tray/store_client.h
+++ b/tray/store_client.h
@@ -1,8 +1,8 @@
 // The platform's key-value service over HTTP; docs/STORE.md is the mapping.
 //
-// Reads, compare-and-swap and watches, each with a deadline. There are no leases:
-// nothing in the tier is held by time, so none can lapse while its holder is
-// paused. Belongs to one loop's thread.
+// Reads, compare-and-swap and watches, each with a deadline. There are no
+// leases: nothing in the tier is held by time, so none can lapse while its
+// holder is paused. Belongs to one loop's thread.
 
 #ifndef TRAY_STORE_CLIENT_H_
 #define TRAY_STORE_CLIENT_H_
--- a/tray/text.cc
+++ b/tray/text.cc
@@ -50,8 +50,9 @@
                  std::string_view kind,
                  const std::unordered_map<std::string, int>& seen) {
     if (!IsName(name)) {
-      errors_.Add(at, fmt::format("{} name '{}' must be 1 to 64 of a-z 0-9 - _ .",
-                                  kind, name));
+      errors_.Add(
+          at, fmt::format("{} name '{}' must be 1 to 64 of a-z 0-9 - _ .", kind,
+                          name));
       return false;
     }
     if (seen.contains(name)) {
@@ -93,8 +94,9 @@
   void ReadCustomers(doc_map* top) {
     for (const doc_node& item : top->List("customers")) {
       doc_map map(item, "customer", &errors_);
-      customer c{.name = map.String("name"),
-                 .weight = static_cast<int>(map.Number("weight", {1, 1000}, 1))};
+      customer c{
+          .name = map.String("name"),
+          .weight = static_cast<int>(map.Number("weight", {1, 1000}, 1))};
       map.RefuseUnknownKeys();
       if (CheckName(item, c.name, "customer", customer_by_name_)) {
         customer_by_name_[c.name] = static_cast<int>(out_.customers.size());
@@ -145,7 +147,8 @@
       p.rank = *found;
     } else {
       errors_.Add(item, fmt::format("unknown priority '{}': one of urgent, "
-                                    "normal, audit", rank));
+                                    "normal, audit",
+                                    rank));
     }
     p.idempotent = map.Bool("idempotent", p.idempotent);
     p.hedge_budget = map.Fraction("hedge_budget", p.hedge_budget);
@@ -245,8 +248,8 @@
     for (const reference& ref : references_) {
       auto found = out_.service_by_name.find(ref.target);
       if (found == out_.service_by_name.end()) {
-        errors_.Add(*ref.at, fmt::format("depends on unknown service '{}'",
-                                         ref.target));
+        errors_.Add(*ref.at,
+                    fmt::format("depends on unknown service '{}'", ref.target));
         continue;
       }
       out_.services[ref.from].depends_on.push_back(found->second);
@@ -272,10 +275,10 @@
         }
         int to = edges[next++];
         if (marks[to] == mark::kOpen) {
-          errors_.Add(*places_[at],
-                      fmt::format("'{}' depends on itself through '{}'",
-                                  out_.services[at].name,
-                                  out_.services[to].name));
+          errors_.Add(
+              *places_[at],
+              fmt::format("'{}' depends on itself through '{}'",
+                          out_.services[at].name, out_.services[to].name));
         } else if (marks[to] == mark::kNew) {
           marks[to] = mark::kOpen;
           stack.push_back({to, 0});
@@ -294,12 +297,13 @@
       for (int shard = 0; shard < s.shards; ++shard) {
         if (held[shard]) continue;
         errors_.Add(*places_[i], fmt::format("no backend server holds shard {} "
-                                             "of '{}'", shard, s.name));
+                                             "of '{}'",
+                                             shard, s.name));
       }
       if (s.shards == 0 && !s.servers.empty()) {
-        errors_.Add(*places_[i],
-                    fmt::format("'{}' has backend servers but no shards",
-                                s.name));
+        errors_.Add(
+            *places_[i],
+            fmt::format("'{}' has backend servers but no shards", s.name));
       }
     }
   }
@@ -312,10 +316,11 @@
         shards += out_.services[s].shards;
       }
       if (shards == 0 || shards > kMaxShardsPerQuery) {
-        errors_.Add(*places_[i],
-                    fmt::format("a query to '{}' touches {} shards; from 1 to "
-                                "{} are allowed", out_.services[i].name, shards,
-                                kMaxShardsPerQuery));
+        errors_.Add(
+            *places_[i],
+            fmt::format("a query to '{}' touches {} shards; from 1 to "
+                        "{} are allowed",
+                        out_.services[i].name, shards, kMaxShardsPerQuery));
       }
     }
   }
--- a/tray/text.h
+++ b/tray/text.h
@@ -23,7 +23,8 @@
 //         - {name: c1-a, data_centre: bogota-norte, address: "127.0.0.1:21001"}
 //
 // A parsed text is immutable and passed around by shared pointer. Parsing takes
-// time linear in the text; the dependency check is linear in services plus edges.
+// time linear in the text; the dependency check is linear in services plus
+// edges.
 
 #ifndef TRAY_TEXT_H_
 #define TRAY_TEXT_H_
@@ -54,7 +55,7 @@
   micros deadline = 110 * kMillisecond;  // used when a query names none
   priority rank = priority::kNormal;     // used when a query names none
   bool idempotent = true;                // false: never hedged nor resent
-  double hedge_budget = 0.05;  // hedges per first attempt, at most
+  double hedge_budget = 0.05;            // hedges per first attempt, at most
   // A partial answer may be given `soft_deadline` after the start once coverage
   // reaches `min_coverage`. Zero: wait for full coverage until the deadline.
   micros soft_deadline = 0;
--- a/tray/tool_main.cc
+++ b/tray/tool_main.cc
@@ -1,6 +1,7 @@
 // baobabtray, the operators' command-line tool.
 //
-//   baobabtray COMMAND [ARGUMENTS] [--admin IP:PORT] [--token-file FILE] [--json]
+//   baobabtray COMMAND [ARGUMENTS] [--admin IP:PORT] [--token-file FILE]
+//   [--json]
 //
 // Commands talk to the administration API of one host; any host will do. Exit
 // codes: 0 done, 1 wrong use, 2 invalid text or refused, 3 conflict, 4 not
@@ -117,8 +118,9 @@
   }
   *out = json::parse(r.body, nullptr, false);
   if (r.status == 401) {
-    return Fail(kUsage, "the host refused the token; give the right one with "
-                        "--token-file");
+    return Fail(kUsage,
+                "the host refused the token; give the right one with "
+                "--token-file");
   }
   if (out->is_object() && out->contains("error")) {
     return Fail(kInvalid, out->at("error").value("message", "refused"));
@@ -178,9 +180,8 @@
   }
   if (verdict == "conflict") {
     for (const json& e : r["edits_since"]) {
-      fmt::print(stderr, "  revision {}: {} {} by {}\n",
-                 e.value("revision", 0), e.value("kind", ""),
-                 e.value("detail", ""), e.value("by", ""));
+      fmt::print(stderr, "  revision {}: {} {} by {}\n", e.value("revision", 0),
+                 e.value("kind", ""), e.value("detail", ""), e.value("by", ""));
     }
     return Fail(kConflicting,
                 fmt::format("conflict: {}. Run 'baobabtray diff FILE', merge, "
@@ -342,9 +343,8 @@
   if (command == "show" && needs(0)) return Show(o);
   if (command == "diff" && needs(1)) return Diff(o, word(1));
   if ((command == "out" || command == "in") && needs(2)) {
-    return Edit(o, {{"kind", command},
-                    {"place_kind", word(1)},
-                    {"place", word(2)}});
+    return Edit(
+        o, {{"kind", command}, {"place_kind", word(1)}, {"place", word(2)}});
   }
   if (command == "history" && words.size() <= 2) return History(o, word(1));
   if (command == "rollback" && needs(1)) {
@@ -386,8 +386,8 @@
                                 false, 5000, "N", cmd);
   TCLAP::ValueArg<int64_t> deadline("", "deadline-ms", "deadline of a query",
                                     false, 0, "N", cmd);
-  TCLAP::UnlabeledMultiArg<std::string> words("command", "command and arguments",
-                                              true, "COMMAND", cmd);
+  TCLAP::UnlabeledMultiArg<std::string> words(
+      "command", "command and arguments", true, "COMMAND", cmd);
   cmd.parse(argc, argv);
   options o{.admin = admin.getValue(),
             .callers = callers.getValue(),
--- a/tray/traffic.cc
+++ b/tray/traffic.cc
@@ -157,10 +157,10 @@
   }
 
   void TakeRoom(const waiter& w) {
-    Step(w.query, [&](routing* r, query* q, micros now,
-                      query_actions* actions) {
-      OnRoom(r, q, w.slot, now, actions);
-    });
+    Step(w.query,
+         [&](routing* r, query* q, micros now, query_actions* actions) {
+           OnRoom(r, q, w.slot, now, actions);
+         });
   }
 
  private:
@@ -230,8 +230,8 @@
       } else {
         out.to = t.servers[s.server].address;
         out.connections = ConnectionShare(f.servers[s.server]);
-        out.worker = static_cast<int>(f.in_force->server_hashes[s.server] %
-                                      workers);
+        out.worker =
+            static_cast<int>(f.in_force->server_hashes[s.server] % workers);
       }
       todo->sends.push_back(std::move(out));
     }
@@ -248,8 +248,8 @@
     const fleet& f = shared_.r.servers;
     const server_state& s = f.servers[server];
     int room = RoomOf(s.window, now);
-    uint64_t service = f.in_force->service_hashes
-        [f.in_force->config->servers[server].service];
+    uint64_t service =
+        f.in_force->service_hashes[f.in_force->config->servers[server].service];
     for (const version_report& v : s.versions) {
       for (int shard : v.shards) {
         while (room > 0) {
@@ -301,9 +301,8 @@
     micros latency = SteadyNow() - q.spec.start;
     shared_.counters.CountQuery(live.service, q.outcome, latency,
                                 static_cast<int>(q.shards.size()), q.answered);
-    log_level level = q.outcome == query_outcome::kComplete
-                          ? log_level::kDebug
-                          : log_level::kInfo;
+    log_level level = q.outcome == query_outcome::kComplete ? log_level::kDebug
+                                                            : log_level::kInfo;
     if (level >= GetLogLevel()) {
       Log(level, "query",
           {{"request_id", live.request_id},
@@ -331,8 +330,8 @@
     micros at = timers_.top().at;
     if (armed_at_ != 0 && armed_at_ <= at) return;
     armed_at_ = at;
-    timer_.expires_at(std::chrono::steady_clock::time_point(
-        std::chrono::microseconds(at)));
+    timer_.expires_at(
+        std::chrono::steady_clock::time_point(std::chrono::microseconds(at)));
     timer_.async_wait([this](std::error_code error) {
       if (error) return;
       armed_at_ = 0;
@@ -352,10 +351,10 @@
       if (live->scheduled_at != entry.at) continue;
       live->scheduled_at = 0;
       bool paused = now - entry.at > kPauseBound;
-      Step(entry.query, [&](routing* r, query* q, micros at,
-                            query_actions* actions) {
-        OnQueryTimer(r, q, at, paused, actions);
-      });
+      Step(entry.query,
+           [&](routing* r, query* q, micros at, query_actions* actions) {
+             OnQueryTimer(r, q, at, paused, actions);
+           });
     }
   }
 
@@ -489,8 +488,8 @@
   // Runs a query whose key must be claimed first.
   void RunClaimed(std::unique_ptr<live_query> live,
                   const caller_request& request, responder respond) {
-    auto shared_live = std::make_shared<std::unique_ptr<live_query>>(
-        std::move(live));
+    auto shared_live =
+        std::make_shared<std::unique_ptr<live_query>>(std::move(live));
     live_query& l = **shared_live;
     std::string id = l.request_id;
     ++in_hand_;
@@ -541,8 +540,9 @@
       error.message = "another request with this key is being run";
     } else {
       error.code = "unknown";
-      error.message = "another request with this key was begun and its outcome "
-                      "is not known";
+      error.message =
+          "another request with this key was begun and its outcome "
+          "is not known";
     }
     return RenderError(error, id);
   }
@@ -563,11 +563,10 @@
       return;
     }
     std::string path = r.path + (r.query.empty() ? "" : "?" + r.query);
-    shared_.on_peer_message("", path, std::move(r.body),
-                            [respond](int status, std::string body) {
-                              respond({.status = status,
-                                       .body = std::move(body)});
-                            });
+    shared_.on_peer_message(
+        "", path, std::move(r.body), [respond](int status, std::string body) {
+          respond({.status = status, .body = std::move(body)});
+        });
   }
 
   // A shard request that a peer without a share hands to this host.
--- a/tray/traffic.h
+++ b/tray/traffic.h
@@ -1,9 +1,10 @@
-// One traffic thread: callers' and peers' requests, queries, and the connections
-// to the backend servers that belong to this thread.
+// One traffic thread: callers' and peers' requests, queries, and the
+// connections to the backend servers that belong to this thread.
 //
 // A query lives on the thread that received it. A backend server's connections
 // live on one thread, chosen by the hash of its name, so that their number is
-// bounded for the whole host; a send to it is posted there, and its result back.
+// bounded for the whole host; a send to it is posted there, and its result
+// back.
 
 #ifndef TRAY_TRAFFIC_H_
 #define TRAY_TRAFFIC_H_
--- a/tray/view.h
+++ b/tray/view.h
@@ -44,11 +44,11 @@
   int64_t revision = 0;
   std::shared_ptr<const text> config;
   std::vector<place> out;
-  std::vector<bool> server_out;      // by server position
-  std::vector<shard_group> groups;   // all shards of all services
-  std::vector<int> first_group;      // by service position
-  std::vector<std::vector<int>> plans;  // by service: groups a query touches
-  std::vector<int> customer_of;      // by service; -1 is everyone else
+  std::vector<bool> server_out;          // by server position
+  std::vector<shard_group> groups;       // all shards of all services
+  std::vector<int> first_group;          // by service position
+  std::vector<std::vector<int>> plans;   // by service: groups a query touches
+  std::vector<int> customer_of;          // by service; -1 is everyone else
   std::vector<uint64_t> service_hashes;  // by service: HashOf(name)
   std::vector<uint64_t> server_hashes;   // by server: HashOf(name)
 };
--- a/tray/waiting.cc
+++ b/tray/waiting.cc
@@ -74,8 +74,7 @@
   if (line.waiters.empty()) {
     line.granted = std::max(line.granted, LeastGranted(c));
   }
-  uint64_t sequence =
-      old.sequence != 0 ? old.sequence : room->next_sequence++;
+  uint64_t sequence = old.sequence != 0 ? old.sequence : room->next_sequence++;
   line.waiters.emplace(sequence, w);
   ++q.size;
   ++room->size;
--- a/tray/waiting.h
+++ b/tray/waiting.h
@@ -2,8 +2,9 @@
 //
 // One queue per shard. Room is granted by stride scheduling: first between
 // customers by their weight, then between priorities within a customer, 16 to 4
-// to 1. Urgent work so goes first in practice, and audit work still gets its part
-// of a full tier. Adding, taking and dropping are logarithmic in one queue.
+// to 1. Urgent work so goes first in practice, and audit work still gets its
+// part of a full tier. Adding, taking and dropping are logarithmic in one
+// queue.
 
 #ifndef TRAY_WAITING_H_
 #define TRAY_WAITING_H_
@@ -63,8 +64,8 @@
   int size = 0;
 };
 
-// Queues `w`. A waiter that was taken in vain gives its old ticket and so keeps its
-// turn.
+// Queues `w`. A waiter that was taken in vain gives its old ticket and so keeps
+// its turn.
 waiter_ticket AddWaiter(waiting_room* room, shard_key key, const waiter& w,
                         const waiter_ticket& old = {});
 
--- a/tray/window.cc
+++ b/tray/window.cc
@@ -29,7 +29,7 @@
 
 void EnterWarming(server_window* w) {
   w->phase = window_phase::kWarming;
-  w->limit = std::min(1, w->share);
+  w->limit = 1;
   w->clean = 0;
 }
 
@@ -59,6 +59,7 @@
 
 void Grow(server_window* w) {
   if (w->limit >= w->share) {
+    w->limit = w->share;
     if (w->phase == window_phase::kWarming) w->phase = window_phase::kWarm;
     return;
   }
@@ -182,8 +183,8 @@
   // Several attempts that are refused at the same moment are one event.
   if (w->phase == window_phase::kHeld && now < w->held_until) return;
   w->phase = window_phase::kHeld;
-  w->backoff = w->backoff == 0 ? kFirstBackoff
-                               : std::min(kMaxBackoff, 2 * w->backoff);
+  w->backoff =
+      w->backoff == 0 ? kFirstBackoff : std::min(kMaxBackoff, 2 * w->backoff);
   w->held_until = now + w->backoff;
 }
 
@@ -194,6 +195,7 @@
 
 void OnReport(server_window* w, report_source source,
               const server_report& report, micros now) {
+  AdoptShare(w, now);
   if (report.stamp < w->stamp) return;
   if (source == report_source::kHealth) {
     server_report lowered = report;
--- a/tray/window.h
+++ b/tray/window.h
@@ -1,10 +1,11 @@
 // How many requests this host may have in flight at one backend server.
 //
 // The window never exceeds this host's share (shares.h), so the sum over all
-// hosts stays within the server's connection cap, and within what it bears while
-// cold. Phases:
+// hosts stays within the server's connection cap, and within what it bears
+// while cold. Phases:
 //
-//   warm     limit moves between 1 and the share: +1 per window of clean replies,
+//   warm     limit moves between 1 and the share: +1 per window of clean
+//   replies,
 //            halved when several replies in a row are far slower than normal
 //   cold     limit is the share of the cold limit, often 0 or 1
 //   warming  after cold: starts at 1 and grows by 1 per clean reply
@@ -13,10 +14,10 @@
 //   leaving  nothing is sent any more
 //
 // A host that has just started knows nothing and begins cold. A cold phase ends
-// only by a reply that says ready, seen here or by a peer; a health report alone
-// never ends it. Hosts without a cold share hand requests to one that has it, and
-// learn from the answer. Growth is driven by replies, never by time alone, so a
-// server that answers slowly fills slowly. All functions are O(1).
+// only by a reply that says ready, seen here or by a peer; a health report
+// alone never ends it. Hosts without a cold share hand requests to one that has
+// it, and learn from the answer. Growth is driven by replies, never by time
+// alone, so a server that answers slowly fills slowly. All functions are O(1).
 
 #ifndef TRAY_WINDOW_H_
 #define TRAY_WINDOW_H_
@@ -38,8 +39,8 @@
     {window_phase::kLeaving, "leaving"},
 }};
 
-// A raised share takes effect this long after the live set changed, by when every
-// host has lowered its own.
+// A raised share takes effect this long after the live set changed, by when
+// every host has lowered its own.
 constexpr micros kShareSettle = 3 * kSecond;
 constexpr micros kFirstBackoff = 100 * kMillisecond;
 constexpr micros kMaxBackoff = 2 * kSecond;
@@ -53,19 +54,19 @@
   window_phase phase = window_phase::kCold;
   report_stamp stamp;     // newest report seen
   int in_flight = 0;      // invariant: 0 <= in_flight
-  int limit = 0;          // used while warm or warming
+  int limit = 0;          // while warm or warming; the share bounds it too
   int share = 0;          // of connections, in force
   int pending_share = 0;  // raised share, in force from `pending_at`
   micros pending_at = 0;
-  int rank = -1;          // among the server's owners, -1: not an owner
-  int owners = 0;         // 0: never divided yet
-  int cold_limit = 1;     // over all hosts, from the text or the server
-  int old_cold_share = 0;     // in force until `cold_share_at`
-  micros cold_share_at = 0;   // when the share by `rank` comes into force
-  int clean = 0;          // clean replies since the last growth
-  int slow = 0;           // slow replies in a row
-  int silent = 0;         // attempts in a row that got no byte back
-  micros normal = 0;      // its usual latency; 0: not known yet
+  int rank = -1;             // among the server's owners, -1: not an owner
+  int owners = 0;            // 0: never divided yet
+  int cold_limit = 1;        // over all hosts, from the text or the server
+  int old_cold_share = 0;    // in force until `cold_share_at`
+  micros cold_share_at = 0;  // when the share by `rank` comes into force
+  int clean = 0;             // clean replies since the last growth
+  int slow = 0;              // slow replies in a row
+  int silent = 0;            // attempts in a row that got no byte back
+  micros normal = 0;         // its usual latency; 0: not known yet
   micros backoff = 0;
   micros held_until = 0;  // while held or cold: nothing is sent before this
 };
@@ -91,15 +92,16 @@
 // A refusal that says the request was not run.
 void OnRefusal(server_window* w, const server_report& report, micros now);
 
-// What went wrong with a connection. Only a refused one holds the server back: a
-// broken one may be that connection's own fault, so the next reply decides; a
+// What went wrong with a connection. Only a refused one holds the server back:
+// a broken one may be that connection's own fault, so the next reply decides; a
 // crossed one says nothing about the server, and a silent one only when several
 // follow each other with no reply between them.
 enum class connection_fault { kRefused, kBroken, kSilent, kCrossed };
 void OnFault(server_window* w, connection_fault fault, micros now);
 
-// The attempt ended without telling anything about the server: cancelled, or its
-// deadline passed. A cold server gets nothing new until it can have noticed.
+// The attempt ended without telling anything about the server: cancelled, or
+// its deadline passed. A cold server gets nothing new until it can have
+// noticed.
 constexpr micros kCancelSettle = 50 * kMillisecond;
 void OnAbandon(server_window* w, micros now);
 
