--- a/tray/choose.cc
+++ b/tray/choose.cc
@@ -133,14 +133,17 @@
                      const choice_request& request) {
   const service& owner = f.in_force->config->services[request.service];
   candidate_list with_room, without_share;
-  bool in_service = false, holds = false;
+  bool holds = false;          // a server in service holds the shard
+  bool out_holds = false;      // one that is out or leaving does
   bool may_wait = false;       // a full window will have room soon
   bool may_come_back = false;  // a cold or held one may, later
   for (int server : owner.servers) {
-    if (!IsInService(f, server)) continue;
-    in_service = true;
     const server_state& s = f.servers[server];
     if (!HoldsShard(s, request.version, request.shard)) continue;
+    if (!IsInService(f, server)) {
+      out_holds = true;
+      continue;
+    }
     holds = true;
     if (std::find(request.asked.begin(), request.asked.end(), server) !=
         request.asked.end()) {
@@ -175,7 +178,7 @@
     if (!request.may_hand_over) return {.reason = miss_reason::kRefused};
     return {.kind = choice_kind::kWait};
   }
-  if (!in_service) return {.reason = miss_reason::kOutOfService};
+  if (!holds && out_holds) return {.reason = miss_reason::kOutOfService};
   if (!holds) return {.reason = miss_reason::kVersionGone};
   return {.reason = miss_reason::kUnreachable};
 }
--- /dev/null
+++ b/tray/testing/text_test.cc
@@ -0,0 +1,139 @@
+// Tests of the operators' text, the settings and views.
+
+#include <criterion/criterion.h>
+
+#include <fstream>
+#include <sstream>
+#include <string>
+
+#include "tray/settings.h"
+#include "tray/strings.h"
+#include "tray/text.h"
+#include "tray/view.h"
+
+using namespace baobabtray;  // NOLINT: test file
+
+namespace {
+
+std::string FileContent(const std::string& path) {
+  std::ifstream in(path);
+  std::stringstream all;
+  all << in.rdbuf();
+  return all.str();
+}
+
+constexpr char kHead[] =
+    "regions: [r]\n"
+    "data_centres: [{name: d, region: r}]\n"
+    "services:\n";
+
+std::string ProblemsOf(const std::string& services) {
+  absl::StatusOr<text> t = ParseText(kHead + services);
+  return t.ok() ? "" : MessageOf(t.status());
+}
+
+void ExpectProblem(const std::string& services, const std::string& reason) {
+  std::string problems = ProblemsOf(services);
+  cr_assert(problems.find(reason) != std::string::npos, "wanted '%s', got '%s'",
+            reason.c_str(), problems.c_str());
+}
+
+constexpr char kServer[] =
+    "    backend_servers: [{name: b, data_centre: d, address: '1.2.3.4:5'}]\n";
+
+}  // namespace
+
+Test(text, reads_both_examples_with_the_sizes_of_the_brief) {
+  auto consortium = ParseText(FileContent("examples/consortium.yaml"));
+  cr_assert(consortium.ok(), "%s", MessageOf(consortium.status()).c_str());
+  const service* alert = FindService(*consortium, "alerta-colapso");
+  cr_assert_not_null(alert);
+  int at = consortium->service_by_name["alerta-colapso"];
+  auto view = BuildView(1, std::make_shared<text>(*consortium), {});
+  cr_assert_eq(view->plans[at].size(), 10u);
+  size_t servers = 0;
+  for (int group : view->plans[at]) {
+    servers += view->groups[group].servers.size();
+    const backend_server& b =
+        consortium->servers[view->groups[group].servers[0]];
+    cr_assert_eq(b.slots, 2);
+    cr_assert_eq(b.connections, 25);
+    cr_assert_eq(b.connect_ms, 6);
+  }
+  cr_assert_eq(servers, 30u);
+  cr_assert_eq(FindService(*consortium, "visor-informes")->servers.size(), 7u);
+  auto cruxwell = ParseText(FileContent("examples/cruxwell.yaml"));
+  cr_assert(cruxwell.ok());
+  cr_assert_eq(FindService(*cruxwell, "manager-ledger")->servers.size(), 40u);
+  cr_assert_eq(FindService(*cruxwell, "hold-shop")->servers.size(), 20u);
+}
+
+Test(text, refuses_cycles_dangling_names_and_duplicates) {
+  ExpectProblem("  - {name: a, depends_on: [b]}\n"
+                "  - {name: b, depends_on: [a]}\n",
+                "depends on itself");
+  ExpectProblem("  - {name: a, depends_on: [nobody]}\n", "unknown service");
+  std::string one = std::string("  - name: a\n    shards: 1\n") + kServer;
+  ExpectProblem(one + one, "duplicate service 'a'");
+  ExpectProblem(one + one, "duplicate backend server 'b'");
+  ExpectProblem(one + one, "duplicate address");
+}
+
+Test(text, refuses_impossible_numbers_and_unknown_keys) {
+  std::string a = "  - name: a\n    shards: 1\n";
+  ExpectProblem("  - {name: a, shards: -1}\n", "'shards' must be from 0");
+  ExpectProblem(a + "    slots: 9\n    connections: 3\n" + kServer,
+                "9 slots need as many connections");
+  ExpectProblem(a + "    color: red\n" + kServer, "no key 'color'");
+  ExpectProblem("  - {name: a, shards: 2}\n", "no backend server holds shard 1");
+  ExpectProblem(a + "    policy: {deadline_ms: 10, soft_deadline_ms: 20}\n" +
+                    kServer,
+                "beyond 'deadline_ms'");
+  ExpectProblem("  - [not, a, map]\n", "must be a map");
+}
+
+Test(text, reports_all_problems_with_their_places) {
+  std::string problems =
+      ProblemsOf("  - {name: 'A!'}\n  - {name: b, depends_on: [x]}\n");
+  cr_assert(problems.find("line 4") != std::string::npos);
+  cr_assert(problems.find("line 5") != std::string::npos);
+}
+
+Test(text, counts_each_service_once_however_many_paths_lead_there) {
+  std::string leaf = std::string("  - name: leaf\n    shards: 1\n") + kServer;
+  auto t = ParseText(kHead + leaf +
+                     "  - {name: left, depends_on: [leaf]}\n"
+                     "  - {name: right, depends_on: [leaf]}\n"
+                     "  - {name: top, depends_on: [left, right, leaf]}\n");
+  cr_assert(t.ok(), "%s", MessageOf(t.status()).c_str());
+  auto view = BuildView(1, std::make_shared<text>(*t), {});
+  cr_assert_eq(view->plans[t->service_by_name["top"]].size(), 1u);
+}
+
+Test(view, marks_servers_of_places_out_of_service) {
+  auto t = ParseText(FileContent("examples/consortium.yaml"));
+  auto shared = std::make_shared<text>(*t);
+  auto view =
+      BuildView(1, shared,
+                {{place_kind::kDataCentre, "cali-sur"},
+                 {place_kind::kServer, "alerta-01-a"}});
+  for (size_t i = 0; i < t->servers.size(); ++i) {
+    const backend_server& b = t->servers[i];
+    bool out = t->data_centres[b.data_centre].name == "cali-sur" ||
+               b.name == "alerta-01-a";
+    cr_assert_eq(view->server_out[i], out);
+  }
+}
+
+Test(settings, are_checked_as_a_whole) {
+  auto bad = ParseSettings(
+      "name: e\ndata_centre: d\nregion: r\ncallers: '1.2.3.4:1'\n"
+      "peers: '1.2.3.4:1'\nadmin: nowhere\nstore: '1.2.3.4:9'\n"
+      "hedging: often\ntypo: 1\n");
+  cr_assert(!bad.ok());
+  std::string problems = MessageOf(bad.status());
+  for (const char* part : {"'admin'", "'hedging' must be one of",
+                           "no key 'typo'", "different ports"}) {
+    cr_assert(problems.find(part) != std::string::npos, "%s", part);
+  }
+}
--- a/tray/window.cc
+++ b/tray/window.cc
@@ -15,6 +15,10 @@
   return w.share;
 }
 
+bool IsSending(const server_window& w) {
+  return w.phase == window_phase::kWarm || w.phase == window_phase::kWarming;
+}
+
 void AdoptShare(server_window* w, micros now) {
   int share = ShareAt(*w, now);
   if (share == w->share) return;
@@ -144,27 +148,22 @@
   AdoptShare(w, now);
   w->backoff = 0;
   w->silent = 0;
+  // The reply that ends a cold phase does not count as growth of the next.
+  bool was_sending = IsSending(*w);
   if (!TakeReport(w, report)) return;
-  if (w->phase == window_phase::kWarm || w->phase == window_phase::kWarming) {
-    JudgeLatency(w, latency);
-  }
+  if (was_sending && IsSending(*w)) JudgeLatency(w, latency);
 }
 
 void OnRefusal(server_window* w, const server_report& report, micros now) {
   --w->in_flight;
   AdoptShare(w, now);
-  if (!TakeReport(w, report)) return;
-  if (w->phase != window_phase::kWarm && w->phase != window_phase::kWarming) {
-    return;
-  }
+  if (!TakeReport(w, report) || !IsSending(*w)) return;
   w->limit = std::max(std::min(1, w->share), w->limit / 2);
   w->clean = 0;
 }
 
 void OnFault(server_window* w, connection_fault fault, micros now) {
   --w->in_flight;
-  bool sending =
-      w->phase == window_phase::kWarm || w->phase == window_phase::kWarming;
   switch (fault) {
     case connection_fault::kCrossed:
       return;
@@ -174,7 +173,7 @@
       w->silent = 0;
       break;
     case connection_fault::kBroken:
-      if (sending) EnterWarming(w);
+      if (IsSending(*w)) EnterWarming(w);
       return;
     case connection_fault::kRefused:
       break;
