--- /dev/null
+++ b/tools/slopes.py
@@ -0,0 +1,1 @@
+def run(build, figures): pass
--- a/tray/standin/backend.cc
+++ b/tray/standin/backend.cc
@@ -233,7 +233,9 @@
 void backend::Work(const std::shared_ptr<job>& j) {
   ++working_;
   ++ledger_.ran;
-  if (!j->idempotent) ++ledger_.runs[j->body];
+  if (!j->idempotent) {
+    ++ledger_.runs[fmt::format("{}#{}", j->shard, j->body)];
+  }
   double us = behaviour.service_us;
   if (Chance(behaviour.straggle)) us *= behaviour.straggle_factor;
   if (cold_) us *= behaviour.cold_factor;
--- a/tray/standin/backend.h
+++ b/tray/standin/backend.h
@@ -58,7 +58,7 @@
   uint64_t cold_excess = 0;              // arrivals beyond the cold limit
   uint64_t cold_excess_after_reply = 0;  // of those after a reply showed it
   micros last_new_work = 0;
-  // Non-idempotent requests run, by their body.
+  // Non-idempotent requests run, as SHARD#BODY.
   std::unordered_map<std::string, int> runs;
 };
 
