--- a/tools/scenarios.py
+++ b/tools/scenarios.py
@@ -184,9 +184,11 @@
             time.sleep(1)
             tier.backends({"match": match, "action": "restart_cold"})
             key, value = next(iter(match.items()))
+            field = "name" if key == "server" else key
             took = full_service_after(
                 tier, time.time(),
-                lambda s: s[key] == value and s["service"].startswith("alerta"))
+                lambda s: s[field] == value and
+                s["service"].startswith("alerta"))
             result = tier.finish_load(load)
             over += sum(s["most_cold"] > s["cold_limit"] for s in tier.ledger())
             figures.report(f"cold.{key}_seconds_to_full", took, "s")
@@ -286,6 +288,7 @@
     requests = 600 if quick else 10_000
     with Tier(build, CONSORTIUM, hosts=8, service_us=1000) as tier:
         warm(tier, "carga-campo", rate=50)
+        tier.backends({"action": "clear"})
         tier.backends({"action": "set", "set": {
             "reset": 0.04, "cut": 0.02, "silent": 0.01, "fail": 0.01,
             "shed": 0.05}})
--- a/tray/choose.cc
+++ b/tray/choose.cc
@@ -28,14 +28,23 @@
   return x ^ (x >> 27);
 }
 
+// A running mean that has not been renewed for this long counts half, so that a
+// server that was slow once is tried again.
+constexpr micros kTraceHalfLife = 2 * kSecond;
+
+double TraceAt(const server_state& s, micros now) {
+  micros halvings = std::min<micros>((now - s.traced_at) / kTraceHalfLife, 10);
+  return static_cast<double>(s.trace >> halvings);
+}
+
 // Expected time until the server would answer one more request: its running
 // mean, what is in hand there per slot, and the cost of a connection if one is
 // needed.
-double ExpectedWait(const fleet& f, int server) {
+double ExpectedWait(const fleet& f, int server, micros now) {
   const server_state& s = f.servers[server];
   const backend_server& b = f.in_force->config->servers[server];
   int in_hand = std::max(s.load, s.window.in_flight);
-  double wait = static_cast<double>(s.trace) * (b.slots + in_hand) / b.slots;
+  double wait = TraceAt(s, now) * (b.slots + in_hand) / b.slots;
   if (s.trace != 0 && NeedsConnection(s)) {
     wait += static_cast<double>(b.connect_ms * kMillisecond);
   }
@@ -90,11 +99,11 @@
       return PickTwoChoices(f, from, request.random);
     case choice_mode::kLeastWait:
       return PickCheapest(from, request.random,
-                          [&](int s) { return ExpectedWait(f, s); });
+                          [&](int s) { return ExpectedWait(f, s, request.now); });
     case choice_mode::kTraceTable:
       break;
   }
-  auto mean = [&](int s) { return static_cast<double>(f.servers[s].trace); };
+  auto mean = [&](int s) { return TraceAt(f.servers[s], request.now); };
   if (request.rank == priority::kUrgent) {
     return PickCheapest(from, request.random, mean);
   }
@@ -137,7 +146,7 @@
 choice ChooseReplica(const fleet& f, choice_mode mode,
                      const choice_request& request) {
   const service& owner = f.in_force->config->services[request.service];
-  candidate_list with_room, without_share;
+  candidate_list with_room, without_share, cold;
   bool holds = false;          // a server in service holds the shard
   bool out_holds = false;      // one that is out or leaving does
   bool may_wait = false;       // a full window will have room soon
@@ -157,6 +166,7 @@
     if (request.hedge && !IsSending(s.window)) continue;
     if (RoomOf(s.window, request.now) > 0) {
       with_room.Add(server);
+      if (!IsSending(s.window)) cold.Add(server);
     } else if (HasNoShare(s, request.now)) {
       without_share.Add(server);
     } else if (s.window.phase == window_phase::kWarm ||
@@ -166,6 +176,10 @@
       may_come_back = true;
     }
   }
+  if (request.feed_cold && cold.size > 0) {
+    return {.kind = choice_kind::kDirect,
+            .server = Pick(f, mode, cold, request)};
+  }
   if (with_room.size > 0) {
     return {.kind = choice_kind::kDirect,
             .server = Pick(f, mode, with_room, request)};
--- a/tray/engine.h
+++ b/tray/engine.h
@@ -43,6 +43,7 @@
 
   metrics counters;
   std::atomic<bool> draining{false};
+  std::atomic<bool> news{false};  // a server turned cold, left or went away
   std::atomic<int64_t> background{0};  // store writes still under way
 };
 
--- a/tray/fleet.h
+++ b/tray/fleet.h
@@ -48,7 +48,8 @@
   // Connections that this host has open, by its own sends and cancels. A
   // request beyond them has to pay for a new one.
   int connections = 0;
-  micros trace = 0;  // running mean of latency; 0: never tried
+  micros trace = 0;      // running mean of latency; 0: never tried
+  micros traced_at = 0;  // when it was last renewed
   int load = 0;      // as last reported
   std::vector<version_report> versions;
   report_stamp versions_stamp;   // of the report that `versions` is from
--- a/tray/peer_talk.cc
+++ b/tray/peer_talk.cc
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr int kLeavingNotices = 4;
+constexpr int kNewsFanOut = 7;
+constexpr micros kNewsPeriod = 50 * kMillisecond;
 
 // What replies have shown of a server, or nothing worth passing on.
 std::optional<reported_state> KnownState(const server_window& w) {
@@ -24,11 +26,10 @@
     case window_phase::kWarming:
       return reported_state::kReady;
     case window_phase::kCold:
+    case window_phase::kHeld:  // it will come back cold, if it was restarted
       return reported_state::kCold;
     case window_phase::kLeaving:
       return reported_state::kLeaving;
-    case window_phase::kHeld:
-      break;
   }
   return std::nullopt;
 }
@@ -46,6 +47,7 @@
     if (seed != members_.self.peers) Exchange(seed);
   }
   Round();
+  TellNews();
 }
 
 void peer_talk::Round() {
@@ -55,6 +57,17 @@
   After(c_, Jittered(c_, kDigestPeriod), [this] { Round(); });
 }
 
+// A server that turned cold or went away is told of at once: until the others know
+// they may send to it.
+void peer_talk::TellNews() {
+  if (c_.shared.news.exchange(false)) {
+    for (const member& m : PickLive(members_, kNewsFanOut, &c_.random)) {
+      Exchange(m.peers);
+    }
+  }
+  After(c_, kNewsPeriod, [this] { TellNews(); });
+}
+
 void peer_talk::Exchange(const endpoint& to) {
   SendToPeer(c_, to, "/peer/digest", DumpDigest(MakeDigest()),
              [this, to](int status, std::string body) {
@@ -125,7 +138,9 @@
   server_state& s = f.servers[found->second];
   server_report report{
       .stamp = item.stamp, .state = item.state, .cold_limit = item.cold_limit};
+  window_phase before = s.window.phase;
   OnReport(&s.window, report_source::kPeer, report, now);
+  if (before != s.window.phase && !IsSending(s.window)) c_.shared.news = true;
   if (item.stamp > s.versions_stamp && !item.versions.empty()) {
     s.versions = item.versions;
     s.versions_stamp = item.stamp;
--- a/tray/peer_talk.h
+++ b/tray/peer_talk.h
@@ -43,6 +43,7 @@
   };
 
   void Round();
+  void TellNews();
   void Exchange(const endpoint& to);
   digest MakeDigest();
   void TakeDigest(const digest& d);
--- a/tray/query.cc
+++ b/tray/query.cc
@@ -3,6 +3,7 @@
 #include "tray/query.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace baobabtray {
@@ -19,9 +20,18 @@
   return static_cast<int>(q.shards.size()) - q.answered;
 }
 
+// True while an attempt is open that the shard counts on.
 bool HasOpenAttempt(const shard_state& s) {
-  return std::any_of(s.attempts.begin(), s.attempts.end(),
-                     [](const attempt_state& a) { return a.open; });
+  return std::any_of(
+      s.attempts.begin(), s.attempts.end(),
+      [](const attempt_state& a) { return a.open && !a.lingering; });
+}
+
+// The attempt whose age decides on hedging and silence.
+const attempt_state& LastAttempt(const shard_state& s) {
+  size_t at = s.attempts.size() - 1;
+  while (at > 0 && s.attempts[at].lingering) --at;
+  return s.attempts[at];
 }
 
 attempt_state* FindAttempt(query* q, uint64_t id, int* slot) {
@@ -75,9 +85,10 @@
   }
 }
 
+// Ends the shard's open attempts, but for those that warm a cold server.
 void CancelAll(routing* r, shard_state* s, micros now, query_actions* actions) {
   for (attempt_state& a : s->attempts) {
-    if (a.open) CancelAttempt(r, &a, now, actions);
+    if (a.open && !a.lingering) CancelAttempt(r, &a, now, actions);
   }
 }
 
@@ -165,7 +176,7 @@
                             .host = to.host,
                             .timeout = q->spec.deadline - now});
   s.attempts.push_back(a);
-  ++s.sent;
+  if (kind != attempt_kind::kFeed) ++s.sent;
   s.ticket = {};
 }
 
@@ -222,15 +233,39 @@
   return ask_result::kImpossible;
 }
 
+// Sends a copy of the shard's request to a cold server that has room for it.
+void FeedCold(routing* r, query* q, int slot, micros now,
+              query_actions* actions) {
+  shard_state& s = q->shards[slot];
+  if (!q->spec.idempotent || s.attempts.empty()) return;
+  int asked = s.attempts.front().server;
+  choice to = ChooseReplica(r->servers, r->choice,
+                            {.service = s.target.service,
+                             .shard = s.target.shard,
+                             .version = q->version,
+                             .rank = q->spec.rank,
+                             .asked = {&asked, 1},
+                             .may_hand_over = false,
+                             .feed_cold = true,
+                             .now = now,
+                             .random = r->random()});
+  if (to.kind != choice_kind::kDirect) return;
+  if (IsSending(r->servers.servers[to.server].window)) return;
+  Send(r, q, slot, to, attempt_kind::kFeed, now, actions);
+  s.attempts.back().lingering = true;
+}
+
 void AskAll(routing* r, query* q, micros now, query_actions* actions) {
   for (size_t i = 0; i < q->shards.size(); ++i) {
     shard_state& s = q->shards[i];
     // Whoever waits already goes first.
     if (r->waiting.size > 0 && r->waiting.queues.contains(s.key)) {
       Wait(r, q, static_cast<int>(i));
-    } else {
-      Ask(r, q, static_cast<int>(i), attempt_kind::kFirst, now, actions);
+      continue;
     }
+    int slot = static_cast<int>(i);
+    ask_result asked = Ask(r, q, slot, attempt_kind::kFirst, now, actions);
+    if (asked == ask_result::kSent) FeedCold(r, q, slot, now, actions);
   }
 }
 
@@ -274,6 +309,8 @@
   q->ran_earlier = MayHaveRun(*q);
   for (shard_state& s : q->shards) {
     StopWaiting(r, &s);
+    // The shards are dropped, so nothing of them may linger.
+    for (attempt_state& a : s.attempts) a.lingering = false;
     CancelAll(r, &s, now, actions);
   }
   TakeSnapshot(*r, q, *next);
@@ -338,7 +375,8 @@
 void Recover(routing* r, query* q, int slot, attempt_end end, micros now,
              query_actions* actions) {
   shard_state& s = q->shards[slot];
-  if (s.answered || s.given_up || s.waiting || HasOpenAttempt(s)) return;
+  bool under_way = s.waiting || s.retry_at != 0 || HasOpenAttempt(s);
+  if (s.answered || s.given_up || under_way) return;
   if (!q->spec.idempotent && !ProvesNotRun(end)) {
     GiveUp(r, q, &s, miss_reason::kUnknown);
     return;
@@ -374,6 +412,24 @@
       [&](const version_report& v) { return v.version == version; });
 }
 
+void JudgeReply(fleet* f, server_state* s, int service,
+                const server_report& report, micros latency, micros now) {
+  bool was_cold = s->window.phase == window_phase::kCold;
+  s->trace = s->trace == 0 ? latency : (4 * s->trace + latency) / 5;
+  s->traced_at = now;
+  OnReply(&s->window, report, latency, now);
+  if (was_cold) {
+    // What it took while cold says nothing about it from now on.
+    if (IsSending(s->window)) s->trace = 0;
+    return;
+  }
+  if (service >= 0) AddLatency(&f->services[service].latency, latency);
+}
+
+const server_window& WindowOf(routing* r, const attempt_state& a) {
+  return r->servers.servers[a.server].window;
+}
+
 // What an attempt's end says about the server it went to.
 void JudgeServer(routing* r, const attempt_state& a, int service,
                  const attempt_result& result, micros now) {
@@ -396,9 +452,7 @@
   micros latency = now - a.sent_at;
   switch (result.end) {
     case attempt_end::kAnswered:
-      s.trace = s.trace == 0 ? latency : (4 * s.trace + latency) / 5;
-      if (service >= 0) AddLatency(&f.services[service].latency, latency);
-      OnReply(&s.window, result.report, latency, now);
+      JudgeReply(&f, &s, service, result.report, latency, now);
       return;
     case attempt_end::kRefused:
     case attempt_end::kVersionGone:
@@ -434,7 +488,7 @@
   shard_state& s = q->shards[slot];
   service_state& service = r->servers.services[s.target.service];
   micros delay = HedgeDelay(r->hedging, service.latency, s.sent);
-  micros due = s.attempts.back().sent_at + delay;
+  micros due = LastAttempt(s).sent_at + delay;
   if (now < due) return due;
   micros again = now + std::max(delay / 4, kMillisecond);
   int unanswered = Unanswered(*q);
@@ -455,7 +509,7 @@
                      query_actions* actions) {
   shard_state& s = q->shards[slot];
   const latency_track& latency = r->servers.services[s.target.service].latency;
-  attempt_state& last = s.attempts.back();
+  const attempt_state& last = LastAttempt(s);
   // A peer may hold a request back for a while before it sends it on.
   micros bound = SilenceBound(latency) * (last.handed_over ? 2 : 1);
   micros due = last.sent_at + bound;
@@ -463,7 +517,7 @@
   if (s.sent >= kMaxAttempts) return q->spec.deadline;
   if (!Spend(&r->retries)) return now + bound;
   for (attempt_state& a : s.attempts) {
-    if (!a.open) continue;
+    if (!a.open || a.lingering) continue;
     a.open = false;
     actions->cancels.push_back({a.id});
     if (a.handed_over || a.server < 0) continue;
@@ -502,7 +556,9 @@
   found->open = false;
   found->not_run = ProvesNotRun(result.end);
   shard_state& s = q->shards[slot];
+  bool was_sending = a.server >= 0 && IsSending(WindowOf(r, a));
   JudgeServer(r, a, s.target.service, result, now);
+  if (was_sending && !IsSending(WindowOf(r, a))) actions->news = true;
   if (a.server >= 0 && !a.handed_over) actions->freed.push_back(a.server);
   if (result.end == attempt_end::kVersionGone) {
     ForgetVersion(&r->servers, a.handed_over ? result.server : a.server,
@@ -573,6 +629,15 @@
   FinishIfDone(r, q, now, actions);
 }
 
+bool HasOpenAttempts(const query& q) {
+  for (const shard_state& s : q.shards) {
+    for (const attempt_state& a : s.attempts) {
+      if (a.open) return true;
+    }
+  }
+  return false;
+}
+
 void AbortQuery(routing* r, query* q, micros now, query_actions* actions) {
   Finish(r, q, now, actions);
 }
--- a/tray/query.h
+++ b/tray/query.h
@@ -19,6 +19,11 @@
 //     was not run
 //   - `not_run` is given only if no attempt may have run
 //   - attempts per shard are bounded by kMaxAttempts
+//
+// A cold server warms only by answering, and a query does better to avoid it. While
+// one has room it therefore gets copies of idempotent requests, whose replies are
+// left to arrive rather than cancelled. A finished query has to be kept until
+// HasOpenAttempts is false, for the sake of such attempts.
 
 #ifndef TRAY_QUERY_H_
 #define TRAY_QUERY_H_
@@ -52,11 +57,13 @@
   uint64_t next_attempt = 1;
 };
 
-enum class attempt_kind { kFirst, kHedge, kRetry };
-constexpr name_table<attempt_kind, 3> kAttemptKindNames = {{
+// kFeed: a copy sent to a cold server only to warm it.
+enum class attempt_kind { kFirst, kHedge, kRetry, kFeed };
+constexpr name_table<attempt_kind, 4> kAttemptKindNames = {{
     {attempt_kind::kFirst, "first"},
     {attempt_kind::kHedge, "hedge"},
     {attempt_kind::kRetry, "retry"},
+    {attempt_kind::kFeed, "feed"},
 }};
 
 // How an attempt ended.
@@ -100,6 +107,7 @@
   bool handed_over = false;
   bool open = true;
   bool not_run = false;  // proven by how it ended
+  bool lingering = false;  // warms a cold server: not cancelled
   micros sent_at = 0;
 };
 
@@ -183,6 +191,7 @@
   // Servers whose connection a cancel has closed; a new one should be opened
   // ahead of the next request.
   std::vector<int> reconnects;
+  bool news = false;  // a server turned cold, left or went away
 };
 
 void StartQuery(routing* r, query* q, micros now, query_actions* actions);
@@ -197,6 +206,9 @@
 void OnQueryTimer(routing* r, query* q, micros now, bool paused,
                   query_actions* actions);
 
+// True while an attempt of the query is still under way.
+bool HasOpenAttempts(const query& q);
+
 // Room came free for the waiting shard `slot`.
 void OnRoom(routing* r, query* q, int slot, micros now, query_actions* actions);
 
--- a/tray/testing/world.cc
+++ b/tray/testing/world.cc
@@ -284,7 +284,9 @@
       Wake(static_cast<int>(h), static_cast<int>(s));
     }
     std::erase_if(hosts_[h].queries, [&](const auto& entry) {
-      if (!entry.second->finished) return false;
+      if (!entry.second->finished || HasOpenAttempts(*entry.second)) {
+        return false;
+      }
       Count(*entry.second);
       return true;
     });
@@ -408,7 +410,9 @@
   for (const shard_state& s : q->shards) {
     if (s.waiting) Fail("a finished query still waits");
     for (const attempt_state& a : s.attempts) {
-      if (a.open) Fail("a finished query has an open attempt");
+      if (a.open && !a.lingering) {
+        Fail("a finished query has an open attempt");
+      }
     }
   }
   int ran = 0;
--- a/tray/traffic.cc
+++ b/tray/traffic.cc
@@ -46,6 +46,9 @@
 constexpr size_t kWakesPerTick = 256;
 constexpr micros kHealthTimeout = 500 * kMillisecond;
 constexpr int kPeerConnections = 64;
+// Part of the time until the deadline that is left for the answer's way back.
+constexpr micros kAnswerPart = 20;
+constexpr micros kAnswerTime = 5 * kMillisecond;
 
 using finish_callback = std::function<void(const query&)>;
 
@@ -56,6 +59,7 @@
   std::shared_ptr<const std::string> payload;
   finish_callback finish;
   int customer = -1;
+  bool answered = false;    // its answer was given
   micros scheduled_at = 0;  // 0: no timer entry
 };
 
@@ -214,14 +218,15 @@
       micros now = SteadyNow();
       decide(&shared_.r, &live->q, now, &actions);
       Resolve(*live, actions, now, &todo);
-      if (live->q.finished) Leave(&shared_.admission, live->customer);
+      if (actions.news) shared_.news = true;
+      if (live->q.finished && !live->answered) {
+        Leave(&shared_.admission, live->customer);
+      }
     }
     Perform(std::move(todo));
-    if (live->q.finished) {
-      Conclude(id);
-    } else {
-      Schedule(live);
-    }
+    if (!live->q.finished) return Schedule(live);
+    if (!live->answered) Answer(live);
+    if (!HasOpenAttempts(live->q)) queries_.erase(id);
   }
 
   // The worker that has the connections to a server. Called under the lock.
@@ -328,10 +333,10 @@
     });
   }
 
-  void Conclude(uint64_t id) {
-    auto node = queries_.extract(id);
+  void Answer(live_query* answered) {
     --in_hand_;
-    live_query& live = *node.mapped();
+    live_query& live = *answered;
+    live.answered = true;
     const query& q = live.q;
     micros latency = SteadyNow() - q.spec.start;
     shared_.counters.CountQuery(live.service, q.outcome, latency,
@@ -383,7 +388,7 @@
       auto found = queries_.find(entry.query);
       if (found == queries_.end()) continue;
       live_query* live = found->second.get();
-      if (live->scheduled_at != entry.at) continue;
+      if (live->scheduled_at != entry.at || live->answered) continue;
       live->scheduled_at = 0;
       bool paused = now - entry.at > kPauseBound;
       Step(entry.query,
@@ -505,7 +510,8 @@
     spec.rank = request.rank.value_or(p.rank);
     spec.idempotent = request.idempotent.value_or(p.idempotent);
     spec.start = now;
-    spec.deadline = now + request.deadline.value_or(p.deadline);
+    micros allowed = request.deadline.value_or(p.deadline);
+    spec.deadline = now + allowed - std::min(allowed / kAnswerPart, kAnswerTime);
     if (p.soft_deadline != 0) spec.soft_deadline = now + p.soft_deadline;
     spec.min_coverage = p.min_coverage;
     live->customer = s->customer;
--- a/tray/window.cc
+++ b/tray/window.cc
@@ -9,6 +9,9 @@
 namespace baobabtray {
 namespace {
 
+// The usual latency rises by one part in this many with each reply.
+constexpr micros kNormalDrift = 1024;
+
 // The share in force at `now`, a raised one included once it is due.
 int ShareAt(const server_window& w, micros now) {
   if (w.pending_share > w.share && now >= w.pending_at) return w.pending_share;
@@ -71,23 +74,18 @@
 }
 
 void JudgeLatency(server_window* w, micros latency) {
-  if (w->normal == 0) {
-    w->normal = latency;
-    return;
-  }
-  if (latency > kSlowFactor * w->normal) {
-    if (++w->slow >= kSlowStreak) {
-      w->limit = std::max(std::min(1, w->share), w->limit / 2);
-      w->slow = 0;
-      w->clean = 0;
-    }
-    // Drifts up slowly, so that a lasting change becomes the new normal.
-    w->normal += w->normal / 64;
+  if (w->normal == 0 || latency < w->normal) w->normal = latency;
+  // Drifts up slowly, so that a lasting change becomes the new normal.
+  w->normal += w->normal / kNormalDrift + 1;
+  if (latency <= kSlowFactor * w->normal) {
+    w->slow = 0;
+    Grow(w);
     return;
   }
+  if (++w->slow < kSlowStreak) return;
+  w->limit = std::max(std::min(1, w->share), w->limit / 2);
   w->slow = 0;
-  w->normal += (latency - w->normal) / 16;
-  Grow(w);
+  w->clean = 0;
 }
 
 }  // namespace
