--- a/tray/fleet.cc
+++ b/tray/fleet.cc
@@ -39,6 +39,15 @@
   SetShare(&s.window, rank, owners, share, now, wait);
 }
 
+// True if the view in force has the server out of service.
+bool WasOut(const fleet& f, const std::string& name) {
+  if (f.in_force == nullptr) return false;
+  const text& old = *f.in_force->config;
+  auto found = old.server_by_name.find(name);
+  return found != old.server_by_name.end() &&
+         f.in_force->server_out[found->second];
+}
+
 // Moves state of servers and services that the next text still has.
 void KeepKnown(fleet* f, const text& next, std::vector<server_state>* servers,
                std::vector<service_state>* services) {
@@ -79,6 +88,9 @@
   for (size_t i = 0; i < t.servers.size(); ++i) {
     const backend_server& b = t.servers[i];
     servers[i].away = DistanceTo(t, b, here);
+    if (WasOut(*f, b.name) && !next->server_out[i]) {
+      OnReturn(&servers[i].window, now - servers[i].heard_at);
+    }
     if (servers[i].window.stamp.boot == 0) {
       servers[i].window.cold_limit = b.cold_limit;
     }
--- a/tray/health.h
+++ b/tray/health.h
@@ -17,7 +17,7 @@
 
 namespace baobabtray {
 
-constexpr micros kHealthPeriod = 10 * kSecond;
+constexpr micros kHealthPeriod = 15 * kSecond;
 constexpr micros kUrgentHealthPeriod = 500 * kMillisecond;
 constexpr int kMaxHealthPerSecond = 200;
 
--- a/tray/members.h
+++ b/tray/members.h
@@ -30,8 +30,8 @@
 
 namespace baobabtray {
 
-constexpr micros kDigestPeriod = 500 * kMillisecond;
-constexpr micros kSuspectTime = 2 * kSecond;
+constexpr micros kDigestPeriod = 1 * kSecond;
+constexpr micros kSuspectTime = 3 * kSecond;
 constexpr micros kShareMemory = 5 * kSecond;
 constexpr micros kForgetTime = 120 * kSecond;
 constexpr int kChangesPerDigest = 12;
--- a/tray/testing/world.h
+++ b/tray/testing/world.h
@@ -22,7 +22,7 @@
 // One fake backend server and what it did.
 struct fake_server {
   uint64_t boot = 1;
-  uint64_t uptime = 0;
+  micros booted_at = 0;
   bool up = true;
   bool cold = false;
   bool leaving = false;
--- a/tray/window.cc
+++ b/tray/window.cc
@@ -12,6 +12,9 @@
 // The usual latency rises by one part in this many with each reply.
 constexpr micros kNormalDrift = 1024;
 
+// Time that a report may take from the server to here.
+constexpr micros kReportDelay = 20 * kMillisecond;
+
 // The share in force at `now`, a raised one included once it is due.
 int ShareAt(const server_window& w, micros now) {
   if (w.pending_share > w.share && now >= w.pending_at) return w.pending_share;
@@ -190,6 +193,13 @@
   if (w->phase == window_phase::kCold) w->held_until = now + kCancelSettle;
 }
 
+void OnReturn(server_window* w, micros unheard) {
+  if (w->phase == window_phase::kHeld) return;
+  EnterCold(w);
+  micros certain = std::max<micros>(0, unheard - kReportDelay);
+  if (w->stamp.boot != 0) w->stamp.uptime_ms += certain / kMillisecond;
+}
+
 void OnReport(server_window* w, report_source source,
               const server_report& report, micros now) {
   AdoptShare(w, now);
--- a/tray/window.h
+++ b/tray/window.h
@@ -108,6 +108,11 @@
 constexpr micros kCancelSettle = 50 * kMillisecond;
 void OnAbandon(server_window* w, micros now);
 
+// The server was kept from getting work for a while, in which it may have been
+// restarted: it counts as cold until a report made `unheard` or later after the
+// newest one known says ready.
+void OnReturn(server_window* w, micros unheard);
+
 // A report from a peer or a health endpoint.
 void OnReport(server_window* w, report_source source,
               const server_report& report, micros now);
