Micro benchmarks with bounds as ratios; fewer repeats of evidence

Cause: control cost 8,126 B/s a host at 8 hosts (bound 6,000), unchanged by slower digests: each host told every report 12 times. Change: evidence is told log2(hosts) + 2 times; both sides of an exchange tell. Conclusion: the cost was in repeats, not in the period.

--- a/tools/scenarios.py
+++ b/tools/scenarios.py
@@ -539,7 +539,7 @@
 def measure_control(build, text, hosts, seconds, edits_per_second=100 / 3600):
     """Mean control cost of a host over a quiet run with edits."""
     with Tier(build, text, hosts=hosts) as tier:
-        time.sleep(5)
+        time.sleep(10)  # until what is new at the start has been told
 
         def sums():
             found = [tier.metrics(h) for h in range(hosts)]
@@ -564,7 +564,32 @@
                 "memory": tier.memory_mb(0)}
 
 
+def decisions(build, figures, quick):
+    """Single decisions: no slower than in proportion to their input, times two."""
+    out = subprocess.run(
+        [f"{build}/micro", "--benchmark_format=json",
+         f"--benchmark_min_time={0.05 if quick else 0.5}"],
+        check=True, capture_output=True, text=True).stdout
+    nanos = {}
+    for b in json.loads(out)["benchmarks"]:
+        nanos[b["name"]] = b["cpu_time"] * (
+            1e6 if b["time_unit"] == "ms" else 1)
+        figures.report(f"decision.{b['name'].replace('/', '_')}",
+                       nanos[b["name"]], "ns")
+    for name, small, large, growth in (
+            ("PickSnapshotOf", 10, 54, 5.4), ("StartQueryOf", 10, 54, 5.4),
+            ("ChooseAmong", 3, 40, 40 / 3), ("MergeDigest", 32, 740, 2.0),
+            ("ParseWholeText", 50, 500, 10)):
+        figures.report(f"decision.{name}_growth",
+                       nanos[f"{name}/{large}"] / nanos[f"{name}/{small}"],
+                       "times", "<=", round(2 * growth, 1))
+    figures.report("decision.delta_over_fingerprint",
+                   nanos["ApplyDeltaToText"] / nanos["FingerprintText"],
+                   "times", "<=", 4.0)
+
+
 ALL = {
+    "decisions": decisions,
     "path_cost": path_cost, "large_text": large_text, "stragglers": stragglers,
     "replica_choice": replica_choice, "replica_lost": replica_lost,
     "cold_start": cold_start, "turns_cold": turns_cold,
@@ -575,4 +600,4 @@
     "store_outage": store_outage, "control_cost": control_cost,
 }
 # What a run of under 50 seconds has time for.
-QUICK = ("path_cost", "large_text", "replica_lost", "racing_edits")
+QUICK = ("decisions", "path_cost", "large_text", "replica_lost", "racing_edits")
--- a/tray/peer_talk.cc
+++ b/tray/peer_talk.cc
@@ -109,7 +109,8 @@
 
 // Finds what has changed about backend servers since it was last passed on.
 void peer_talk::CollectEvidence() {
-  int sends = 3 * std::bit_width(members_.others.size() + 1);
+  // Both sides of an exchange tell, so this reaches all hosts with a margin.
+  int sends = std::bit_width(members_.others.size() + 1) + 1;
   std::lock_guard lock(c_.shared.mutex);
   const fleet& f = c_.shared.r.servers;
   if (f.in_force == nullptr) return;
