--- a/tray/admin.cc
+++ b/tray/admin.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "tray/callers.h"
+#include "tray/config_json.h"
 #include "tray/hash.h"
 #include "tray/log.h"
 #include "tray/strings.h"
@@ -28,24 +29,6 @@
           .body = Dump({{"error", {{"code", code}, {"message", message}}}})};
 }
 
-json ToJson(const edit_record& e) {
-  return {{"revision", e.revision},
-          {"id", e.id},
-          {"by", e.by},
-          {"kind", NameOf(kEditKindNames, e.kind)},
-          {"detail", e.detail},
-          {"at_ms", e.at_ms}};
-}
-
-json OutList(const config& c) {
-  json out = json::array();
-  for (const place& p : c.out) {
-    out.push_back(
-        {{"kind", NameOf(kPlaceKindNames, p.kind)}, {"name", p.name}});
-  }
-  return out;
-}
-
 json WindowJson(const server_window& w, micros now) {
   return {{"phase", NameOf(kWindowPhaseNames, w.phase)},
           {"in_flight", w.in_flight},
@@ -204,7 +187,7 @@
   for (const edit_record& e : c.recent) recent.push_back(ToJson(e));
   return Dump({{"revision", c.revision},
                {"text", c.text},
-               {"out", OutList(c)},
+               {"out", ToJson(c.out)},
                {"recent", recent}});
 }
 
@@ -242,7 +225,7 @@
                {"source", NameOf(kConfigSourceNames, keeper_.source())},
                {"store_answers", keeper_.store_answers()},
                {"problem", keeper_.problem()},
-               {"out", OutList(keeper_.current())},
+               {"out", ToJson(keeper_.current().out)},
                {"hosts", hosts},
                {"queries_in_hand", c_.shared.admission.in_hand},
                {"shards_waiting", c_.shared.r.waiting.size},
--- a/tray/bench/load_main.cc
+++ b/tray/bench/load_main.cc
@@ -15,7 +15,6 @@
 #include <asio.hpp>
 #include <chrono>
 #include <fstream>
-#include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -25,6 +24,7 @@
 #include "tray/backend_wire.h"
 #include "tray/fetch.h"
 #include "tray/hash.h"
+#include "tray/run_main.h"
 #include "tray/strings.h"
 #include "tray/view.h"
 
@@ -396,7 +396,9 @@
   return o;
 }
 
-int Run(int argc, char** argv) {
+}  // namespace
+
+int RunProgram(int argc, char** argv) {
   options o = Parse(argc, argv);
   asio::io_context loop(1);
   // Ends a run whose last answers do not come; the fetcher's own event loop
@@ -431,14 +433,8 @@
   return 0;
 }
 
-}  // namespace
 }  // namespace baobabtray::bench
 
 int main(int argc, char** argv) {
-  try {
-    return baobabtray::bench::Run(argc, argv);
-  } catch (const std::exception& e) {
-    std::cerr << e.what() << "\n";
-    return 1;
-  }
+  return baobabtray::RunMain(baobabtray::bench::RunProgram, argc, argv, 1);
 }
--- a/tray/bench/micro_main.cc
+++ b/tray/bench/micro_main.cc
@@ -1,5 +1,6 @@
-// Times of single decisions, by Google Benchmark. Bounds are ratios of times within
-// one run, checked by bench.py: a decision must grow no faster than its input.
+// Times of single decisions, by Google Benchmark. Bounds are ratios of times
+// within one run, checked by bench.py: a decision must grow no faster than its
+// input.
 
 #include <benchmark/benchmark.h>
 #include <fmt/format.h>
@@ -32,7 +33,8 @@
         i);
     for (int k = 0; k < replicas; ++k) {
       yaml += fmt::format(
-          "      - {{name: s{}-{}, data_centre: d, address: \"10.{}.{}.{}:1\"}}\n",
+          "      - {{name: s{}-{}, data_centre: d, address: "
+          "\"10.{}.{}.{}:1\"}}\n",
           i, k, i / 250, i % 250, k + 1);
     }
   }
@@ -82,10 +84,9 @@
   routing r = RoutingOf(1, static_cast<int>(state.range(0)));
   uint64_t random = 1;
   for (auto _ : state) {
-    benchmark::DoNotOptimize(
-        ChooseReplica(r.servers, choice_mode::kLeastWait,
-                      {.service = 1, .version = 1, .now = kNow,
-                       .random = ++random}));
+    benchmark::DoNotOptimize(ChooseReplica(
+        r.servers, choice_mode::kLeastWait,
+        {.service = 1, .version = 1, .now = kNow, .random = ++random}));
   }
 }
 BENCHMARK(ChooseAmong)->Arg(3)->Arg(40);
--- a/tray/choose.cc
+++ b/tray/choose.cc
@@ -98,8 +98,9 @@
     case choice_mode::kTwoChoices:
       return PickTwoChoices(f, from, request.random);
     case choice_mode::kLeastWait:
-      return PickCheapest(from, request.random,
-                          [&](int s) { return ExpectedWait(f, s, request.now); });
+      return PickCheapest(from, request.random, [&](int s) {
+        return ExpectedWait(f, s, request.now);
+      });
     case choice_mode::kTraceTable:
       break;
   }
--- a/tray/choose.h
+++ b/tray/choose.h
@@ -58,7 +58,7 @@
   std::span<const int> asked;  // server positions not to pick
   bool may_hand_over = true;
   bool feed_cold = false;  // prefer a cold server with room, to warm it
-  bool hedge = false;  // never towards a server that is cold or held back
+  bool hedge = false;      // never towards a server that is cold or held back
   micros now = 0;
   uint64_t random = 0;
 };
--- a/tray/config.cc
+++ b/tray/config.cc
@@ -4,20 +4,13 @@
 
 #include <nlohmann/json.hpp>
 
+#include "tray/config_json.h"
+
 namespace baobabtray {
 namespace {
 
 using nlohmann::json;
 
-json ToJson(const edit_record& e) {
-  return {{"revision", e.revision},
-          {"id", e.id},
-          {"by", e.by},
-          {"kind", NameOf(kEditKindNames, e.kind)},
-          {"detail", e.detail},
-          {"at_ms", e.at_ms}};
-}
-
 edit_record EditFromJson(const json& j) {
   edit_record e;
   j.at("revision").get_to(e.revision);
@@ -32,15 +25,29 @@
 
 }  // namespace
 
-std::string DumpConfig(const config& c) {
-  json out = json::array(), recent = json::array();
-  for (const place& p : c.out) {
-    out.push_back(
+nlohmann::json ToJson(const edit_record& e) {
+  return {{"revision", e.revision},
+          {"id", e.id},
+          {"by", e.by},
+          {"kind", NameOf(kEditKindNames, e.kind)},
+          {"detail", e.detail},
+          {"at_ms", e.at_ms}};
+}
+
+nlohmann::json ToJson(const std::vector<place>& places) {
+  json list = json::array();
+  for (const place& p : places) {
+    list.push_back(
         {{"kind", NameOf(kPlaceKindNames, p.kind)}, {"name", p.name}});
   }
+  return list;
+}
+
+std::string DumpConfig(const config& c) {
+  json recent = json::array();
   for (const edit_record& e : c.recent) recent.push_back(ToJson(e));
   return json{{"revision", c.revision},
-              {"out", out},
+              {"out", ToJson(c.out)},
               {"recent", recent},
               {"text", c.text}}
       .dump();
--- /dev/null
+++ b/tray/config_json.h
@@ -0,0 +1,17 @@
+// JSON of configuration parts that the store and the administration API share.
+
+#ifndef TRAY_CONFIG_JSON_H_
+#define TRAY_CONFIG_JSON_H_
+
+#include <nlohmann/json.hpp>
+
+#include "tray/config.h"
+
+namespace baobabtray {
+
+nlohmann::json ToJson(const edit_record& e);
+nlohmann::json ToJson(const std::vector<place>& places);
+
+}  // namespace baobabtray
+
+#endif  // TRAY_CONFIG_JSON_H_
--- a/tray/daemon_main.cc
+++ b/tray/daemon_main.cc
@@ -7,7 +7,6 @@
 #include <tclap/CmdLine.h>
 
 #include <fstream>
-#include <iostream>
 #include <random>
 #include <sstream>
 #include <thread>
@@ -15,6 +14,7 @@
 #include "tray/control.h"
 #include "tray/engine.h"
 #include "tray/log.h"
+#include "tray/run_main.h"
 #include "tray/settings.h"
 #include "tray/strings.h"
 #include "tray/traffic.h"
@@ -88,7 +88,9 @@
   return absl::OkStatus();
 }
 
-int Run(int argc, char** argv) {
+}  // namespace
+
+int RunProgram(int argc, char** argv) {
   TCLAP::CmdLine cmd("baobabtrayd: the daemon of one entry host", ' ',
                      BAOBABTRAY_VERSION);
   TCLAP::ValueArg<std::string> file("s", "settings", "settings file (YAML)",
@@ -112,14 +114,8 @@
   return kCannotStart;
 }
 
-}  // namespace
 }  // namespace baobabtray
 
 int main(int argc, char** argv) {
-  try {
-    return baobabtray::Run(argc, argv);
-  } catch (const std::exception& e) {
-    std::cerr << e.what() << "\n";
-    return 3;
-  }
+  return baobabtray::RunMain(baobabtray::RunProgram, argc, argv, 3);
 }
--- a/tray/fetch.cc
+++ b/tray/fetch.cc
@@ -23,6 +23,8 @@
 #include <set>
 #include <unordered_map>
 
+#include "tray/alarm.h"
+
 namespace baobabtray {
 namespace {
 
@@ -67,7 +69,9 @@
 class fetcher::impl {
  public:
   explicit impl(asio::io_context& loop)
-      : loop_(loop), epoll_(loop, epoll_create1(EPOLL_CLOEXEC)), timer_(loop) {
+      : loop_(loop),
+        epoll_(loop, epoll_create1(EPOLL_CLOEXEC)),
+        alarm_(loop, [this] { RunTimers(); }) {
     static std::once_flag once;
     std::call_once(once, [] { curl_global_init(CURL_GLOBAL_ALL); });
     WaitForEvents();
@@ -295,22 +299,7 @@
     if (p->timer_at != 0) timers_.erase({p->timer_at, p});
     p->timer_at = at;
     if (at != 0) timers_.insert({at, p});
-    ArmTimer();
-  }
-
-  void ArmTimer() {
-    if (closing_ || timers_.empty()) return;
-    micros at = timers_.begin()->first;
-    if (armed_at_ != 0 && armed_at_ <= at) return;
-    armed_at_ = at;
-    timer_.expires_at(
-        std::chrono::steady_clock::time_point(std::chrono::microseconds(at)));
-    timer_.async_wait([this](std::error_code error) {
-      if (error) return;
-      armed_at_ = 0;
-      RunTimers();
-      ArmTimer();
-    });
+    if (!closing_ && !timers_.empty()) alarm_.ArmAt(timers_.begin()->first);
   }
 
   void RunTimers() {
@@ -323,6 +312,7 @@
       curl_multi_socket_action(p->multi, CURL_SOCKET_TIMEOUT, 0, &running);
       Collect(p);
     }
+    if (!timers_.empty()) alarm_.ArmAt(timers_.begin()->first);
   }
 
   void WaitForEvents() {
@@ -389,8 +379,7 @@
 
   asio::io_context& loop_;
   asio::posix::stream_descriptor epoll_;
-  asio::steady_timer timer_;
-  micros armed_at_ = 0;  // 0: the timer is not armed
+  alarm_clock alarm_;
   bool closing_ = false;
   uint64_t next_id_ = 1;
   std::map<std::pair<std::string, uint16_t>, std::unique_ptr<pool>> pools_;
--- a/tray/fleet.h
+++ b/tray/fleet.h
@@ -50,7 +50,7 @@
   int connections = 0;
   micros trace = 0;      // running mean of latency; 0: never tried
   micros traced_at = 0;  // when it was last renewed
-  int load = 0;      // as last reported
+  int load = 0;          // as last reported
   std::vector<version_report> versions;
   report_stamp versions_stamp;   // of the report that `versions` is from
   bool versions_stale = false;   // a reply spoke of a version not in `versions`
--- a/tray/keeper.cc
+++ b/tray/keeper.cc
@@ -101,17 +101,20 @@
 
 bool config_keeper::Adopt(config next, config_source source) {
   if (next.revision <= current().revision) return false;
-  absl::StatusOr<text> parsed = ParseText(next.text);
-  if (!parsed.ok()) {
-    problem_ = fmt::format("revision {} is not a valid text: {}", next.revision,
-                           MessageOf(parsed.status()));
-    Log(log_level::kError, "config_invalid", {{"reason", problem_}});
-    return false;
+  // Taking a place out leaves the text as it is, and parsing is what an edit
+  // costs.
+  if (parsed_ == nullptr || next.text != current().text) {
+    absl::StatusOr<text> parsed = ParseText(next.text);
+    if (!parsed.ok()) {
+      problem_ = fmt::format("revision {} is not a valid text: {}",
+                             next.revision, MessageOf(parsed.status()));
+      Log(log_level::kError, "config_invalid", {{"reason", problem_}});
+      return false;
+    }
+    parsed_ = std::make_shared<const text>(*std::move(parsed));
   }
   problem_.clear();
-  auto shared_text = std::make_shared<const text>(*std::move(parsed));
-  std::shared_ptr<const view> v =
-      BuildView(next.revision, std::move(shared_text), next.out);
+  std::shared_ptr<const view> v = BuildView(next.revision, parsed_, next.out);
   {
     std::lock_guard lock(c_.shared.mutex);
     AdoptView(&c_.shared.r.servers, v, c_.shared.here, SteadyNow());
--- a/tray/peer_talk.cc
+++ b/tray/peer_talk.cc
@@ -57,8 +57,8 @@
   After(c_, Jittered(c_, kDigestPeriod), [this] { Round(); });
 }
 
-// A server that turned cold or went away is told of at once: until the others know
-// they may send to it.
+// A server that turned cold or went away is told of at once: until the others
+// know they may send to it.
 void peer_talk::TellNews() {
   if (c_.shared.news.exchange(false)) {
     for (const member& m : PickLive(members_, kNewsFanOut, &c_.random)) {
--- a/tray/query.h
+++ b/tray/query.h
@@ -20,10 +20,10 @@
 //   - `not_run` is given only if no attempt may have run
 //   - attempts per shard are bounded by kMaxAttempts
 //
-// A cold server warms only by answering, and a query does better to avoid it. While
-// one has room it therefore gets copies of idempotent requests, whose replies are
-// left to arrive rather than cancelled. A finished query has to be kept until
-// HasOpenAttempts is false, for the sake of such attempts.
+// A cold server warms only by answering, and a query does better to avoid it.
+// While one has room it therefore gets copies of idempotent requests, whose
+// replies are left to arrive rather than cancelled. A finished query has to be
+// kept until HasOpenAttempts is false, for the sake of such attempts.
 
 #ifndef TRAY_QUERY_H_
 #define TRAY_QUERY_H_
@@ -106,7 +106,7 @@
   int server = -1;  // position in the text in force; -1 if it is gone
   bool handed_over = false;
   bool open = true;
-  bool not_run = false;  // proven by how it ended
+  bool not_run = false;    // proven by how it ended
   bool lingering = false;  // warms a cold server: not cancelled
   micros sent_at = 0;
 };
--- a/tray/standin/backends_main.cc
+++ b/tray/standin/backends_main.cc
@@ -14,10 +14,10 @@
 
 #include <asio.hpp>
 #include <fstream>
-#include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "tray/run_main.h"
 #include "tray/standin/backend.h"
 #include "tray/strings.h"
 
@@ -108,7 +108,9 @@
   c->Reply(200, {}, json{{"touched", touched}}.dump());
 }
 
-int Run(int argc, char** argv) {
+}  // namespace
+
+int RunProgram(int argc, char** argv) {
   TCLAP::CmdLine cmd("Stand-in backend servers", ' ', BAOBABTRAY_VERSION);
   TCLAP::ValueArg<std::string> text_file("", "text", "operators' text", true,
                                          "", "FILE", cmd);
@@ -148,14 +150,8 @@
   return 0;
 }
 
-}  // namespace
 }  // namespace baobabtray::standin
 
 int main(int argc, char** argv) {
-  try {
-    return baobabtray::standin::Run(argc, argv);
-  } catch (const std::exception& e) {
-    std::cerr << e.what() << "\n";
-    return 1;
-  }
+  return baobabtray::RunMain(baobabtray::standin::RunProgram, argc, argv, 1);
 }
--- a/tray/standin/store_main.cc
+++ b/tray/standin/store_main.cc
@@ -12,12 +12,12 @@
 
 #include <asio.hpp>
 #include <chrono>
-#include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <random>
 
 #include "tray/endpoint.h"
+#include "tray/run_main.h"
 #include "tray/standin/wire.h"
 #include "tray/strings.h"
 
@@ -167,7 +167,9 @@
   std::mt19937_64 random_{1};
 };
 
-int Run(int argc, char** argv) {
+}  // namespace
+
+int RunProgram(int argc, char** argv) {
   TCLAP::CmdLine cmd("Stand-in key-value store", ' ', BAOBABTRAY_VERSION);
   TCLAP::ValueArg<std::string> listen("", "listen", "own address", true, "",
                                       "IP:PORT", cmd);
@@ -188,14 +190,8 @@
   return 0;
 }
 
-}  // namespace
 }  // namespace baobabtray::standin
 
 int main(int argc, char** argv) {
-  try {
-    return baobabtray::standin::Run(argc, argv);
-  } catch (const std::exception& e) {
-    std::cerr << e.what() << "\n";
-    return 1;
-  }
+  return baobabtray::RunMain(baobabtray::standin::RunProgram, argc, argv, 1);
 }
--- a/tray/testing/http_test.cc
+++ b/tray/testing/http_test.cc
@@ -1,10 +1,10 @@
 // Tests of the HTTP server and client against peers that misbehave.
 
 #include <criterion/criterion.h>
-#include <csignal>
 
 #include <asio.hpp>
 #include <chrono>
+#include <csignal>
 #include <string>
 #include <vector>
 
@@ -70,39 +70,39 @@
 
 Test(fetch, crossed_reply_is_refused_and_its_connection_closed) {
   asio::io_context loop(1);
-  wire_server server(loop, kHost, 24101,
-                     [](std::shared_ptr<wire_connection> c,
-                        const wire_request& r) {
-                       std::string id = r.Header("x-attempt-id");
-                       if (id == "a") id = "b";
-                       c->Reply(200, {{"X-Attempt-Id", id}}, "{}");
-                     });
+  wire_server server(
+      loop, kHost, 17101,
+      [](std::shared_ptr<wire_connection> c, const wire_request& r) {
+        std::string id = r.Header("x-attempt-id");
+        if (id == "a") id = "b";
+        c->Reply(200, {{"X-Attempt-Id", id}}, "{}");
+      });
   server.Listen();
   fetcher http(loop);
-  cr_assert_eq(Fetch(loop, http, To(24101, "a")).fault, fetch_fault::kCrossed);
-  cr_assert_eq(Fetch(loop, http, To(24101, "c")).fault, fetch_fault::kNone);
+  cr_assert_eq(Fetch(loop, http, To(17101, "a")).fault, fetch_fault::kCrossed);
+  cr_assert_eq(Fetch(loop, http, To(17101, "c")).fault, fetch_fault::kNone);
   cr_assert_eq(server.accepted_connections, 2u);
 }
 
 Test(fetch, cut_body_and_missing_end_are_failures) {
   asio::io_context loop(1);
   int turn = 0;
-  wire_server server(loop, kHost, 24102,
-                     [&](std::shared_ptr<wire_connection> c,
-                         const wire_request&) {
-                       if (++turn == 1) c->ReplyCut(200, {}, "{\"a\":1}");
-                       if (turn == 2) c->Reset();
-                     });
+  wire_server server(
+      loop, kHost, 17102,
+      [&](std::shared_ptr<wire_connection> c, const wire_request&) {
+        if (++turn == 1) c->ReplyCut(200, {}, "{\"a\":1}");
+        if (turn == 2) c->Reset();
+      });
   server.Listen();
   fetcher http(loop);
-  cr_assert_eq(Fetch(loop, http, To(24102)).fault, fetch_fault::kBroken);
-  cr_assert_eq(Fetch(loop, http, To(24102)).fault, fetch_fault::kBroken);
+  cr_assert_eq(Fetch(loop, http, To(17102)).fault, fetch_fault::kBroken);
+  cr_assert_eq(Fetch(loop, http, To(17102)).fault, fetch_fault::kBroken);
 }
 
 Test(fetch, nothing_is_sent_where_nobody_listens) {
   asio::io_context loop(1);
   fetcher http(loop);
-  cr_assert_eq(Fetch(loop, http, To(24103)).fault, fetch_fault::kNotSent);
+  cr_assert_eq(Fetch(loop, http, To(17103)).fault, fetch_fault::kNotSent);
 }
 
 // libcurl repeats a request on its own when a reused connection dies at once.
@@ -110,20 +110,20 @@
 Test(fetch, fresh_request_is_never_sent_twice) {
   asio::io_context loop(1);
   std::map<std::string, int> received;
-  wire_server server(loop, kHost, 24104,
-                     [&](std::shared_ptr<wire_connection> c,
-                         const wire_request& r) {
-                       ++received[r.body];
-                       if (r.body == "first") return c->Reply(200, {}, "{}");
-                       c->Close();  // read, perhaps run, never answered
-                     });
+  wire_server server(
+      loop, kHost, 17104,
+      [&](std::shared_ptr<wire_connection> c, const wire_request& r) {
+        ++received[r.body];
+        if (r.body == "first") return c->Reply(200, {}, "{}");
+        c->Close();  // read, perhaps run, never answered
+      });
   server.Listen();
   fetcher http(loop);
-  http.SetConnections({kHost, 24104}, 1);
-  fetch_request first = To(24104);
+  http.SetConnections({kHost, 17104}, 1);
+  fetch_request first = To(17104);
   first.body = std::make_shared<std::string>("first");
   cr_assert_eq(Fetch(loop, http, first).fault, fetch_fault::kNone);
-  fetch_request once = To(24104);
+  fetch_request once = To(17104);
   once.body = std::make_shared<std::string>("once");
   once.fresh = true;
   cr_assert_eq(Fetch(loop, http, once).fault, fetch_fault::kBroken);
@@ -134,19 +134,19 @@
   asio::io_context loop(1);
   size_t most = 0;
   wire_server* at = nullptr;
-  wire_server server(loop, kHost, 24105,
-                     [&](std::shared_ptr<wire_connection> c,
-                         const wire_request&) {
-                       most = std::max(most, at->connections().size());
-                       c->Reply(200, {}, "{}");
-                     });
+  wire_server server(
+      loop, kHost, 17105,
+      [&](std::shared_ptr<wire_connection> c, const wire_request&) {
+        most = std::max(most, at->connections().size());
+        c->Reply(200, {}, "{}");
+      });
   at = &server;
   server.Listen();
   fetcher http(loop);
-  http.SetConnections({kHost, 24105}, 3);
+  http.SetConnections({kHost, 17105}, 3);
   int ended = 0;
   for (int i = 0; i < 50; ++i) {
-    fetch_request r = To(24105);
+    fetch_request r = To(17105);
     r.fresh = i % 5 == 0;
     http.Start(std::move(r), [&](fetch_result) { ++ended; });
   }
@@ -158,58 +158,63 @@
   signal(SIGPIPE, SIG_IGN);
   asio::io_context loop(1);
   auto server = http_server::Start(
-      loop, {.listen = {kHost, 24106}},
+      loop, {.listen = {kHost, 17106}},
       [](http_request, responder respond) { respond({.body = "{}"}); });
   cr_assert(server.ok());
   std::string large(10 << 20, 'x');
   std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
                      std::to_string(large.size()) + "\r\n\r\n";
-  std::string got = Raw(loop, 24106, head + large);
-  cr_assert_eq(got.substr(0, 12), "HTTP/1.1 413", "%s", got.substr(0, 200).c_str());
-  std::string wide = "GET / HTTP/1.1\r\nHost: h\r\nX-A: " +
-                     std::string(20'000, 'a') + "\r\n\r\n";
-  cr_assert_eq(Raw(loop, 24106, wide).substr(0, 12), "HTTP/1.1 431");
-  cr_assert_eq(Raw(loop, 24106, "GET / HTTP/1.1\r\nHost: h\r\n\r\n").substr(0, 12),
-               "HTTP/1.1 200");
+  std::string got = Raw(loop, 17106, head + large);
+  cr_assert_eq(got.substr(0, 12), "HTTP/1.1 413", "%s",
+               got.substr(0, 200).c_str());
+  std::string wide =
+      "GET / HTTP/1.1\r\nHost: h\r\nX-A: " + std::string(20'000, 'a') +
+      "\r\n\r\n";
+  cr_assert_eq(Raw(loop, 17106, wide).substr(0, 12), "HTTP/1.1 431");
+  cr_assert_eq(
+      Raw(loop, 17106, "GET / HTTP/1.1\r\nHost: h\r\n\r\n").substr(0, 12),
+      "HTTP/1.1 200");
 }
 
 Test(serve, slow_sender_is_closed_and_others_are_served) {
   asio::io_context loop(1);
   auto server = http_server::Start(
-      loop, {.listen = {kHost, 24107}, .message_seconds = 1},
+      loop, {.listen = {kHost, 17107}, .message_seconds = 1},
       [](http_request, responder respond) { respond({.body = "{}"}); });
   cr_assert(server.ok());
   asio::ip::tcp::socket slow(loop);
-  slow.connect({asio::ip::make_address(kHost), 24107});
+  slow.connect({asio::ip::make_address(kHost), 17107});
   asio::write(slow, asio::buffer(std::string("POST / HTTP/1.1\r\nHo")));
   bool closed = false;
   char byte;
   slow.async_read_some(asio::buffer(&byte, 1),
                        [&](std::error_code e, size_t) { closed = bool(e); });
   fetcher http(loop);
-  cr_assert_eq(Fetch(loop, http, To(24107)).status, 200);
+  cr_assert_eq(Fetch(loop, http, To(17107)).status, 200);
   RunUntil(loop, [&] { return closed; });
 }
 
 Test(serve, a_handler_that_throws_ends_one_request_only) {
   asio::io_context loop(1);
   int turn = 0;
-  auto server = http_server::Start(loop, {.listen = {kHost, 24108}},
+  auto server = http_server::Start(loop, {.listen = {kHost, 17108}},
                                    [&](http_request, responder respond) {
-                                     if (++turn == 1) throw std::runtime_error("x");
+                                     if (++turn == 1)
+                                       throw std::runtime_error("x");
                                      respond({.body = "{}"});
                                    });
   fetcher http(loop);
-  cr_assert_eq(Fetch(loop, http, To(24108)).status, 500);
-  cr_assert_eq(Fetch(loop, http, To(24108)).status, 200);
+  cr_assert_eq(Fetch(loop, http, To(17108)).status, 500);
+  cr_assert_eq(Fetch(loop, http, To(17108)).status, 200);
 }
 
 Test(serve, a_taken_port_is_an_error_not_a_crash) {
   asio::io_context loop(1);
-  wire_server other(loop, kHost, 24109,
-                    [](std::shared_ptr<wire_connection>, const wire_request&) {});
+  wire_server other(
+      loop, kHost, 17109,
+      [](std::shared_ptr<wire_connection>, const wire_request&) {});
   other.Listen();
-  auto server = http_server::Start(loop, {.listen = {kHost, 24109}},
+  auto server = http_server::Start(loop, {.listen = {kHost, 17109}},
                                    [](http_request, responder) {});
   cr_assert(!server.ok());
 }
--- a/tray/testing/wire_test.cc
+++ b/tray/testing/wire_test.cc
@@ -49,7 +49,8 @@
   ExpectRefused(R"({"service":"a","colour":1})", "unknown field 'colour'");
   ExpectRefused("{\"service\":\"a\",\"payload\":\"\xff\"}", "");
   std::string deep = R"({"service":"a","payload":)" +
-                     std::string(100'000, '[') + std::string(100'000, ']') + "}";
+                     std::string(100'000, '[') + std::string(100'000, ']') +
+                     "}";
   ExpectRefused(deep, "nested deeper");
 }
 
@@ -85,7 +86,8 @@
 
 Test(backend_wire, health_reports_out_of_bounds_are_refused) {
   cr_assert(ParseHealth(R"({"boot":1,"uptime_ms":2,"state":"ready",
-      "versions":[{"version":1,"total":2,"shards":[1,0]}]})").ok());
+      "versions":[{"version":1,"total":2,"shards":[1,0]}]})")
+                .ok());
   for (const char* bad :
        {"", "[]", R"({"boot":1})",
         R"({"boot":1,"uptime_ms":2,"state":"odd","versions":[]})",
@@ -134,7 +136,8 @@
   config base{.revision = 3, .text = "one\ntwo\n"};
   config next{.revision = 4, .text = "one\n2\n"};
   next.recent.push_back({.revision = 4, .id = "e"});
-  auto m = ParseConfigMessage(DumpConfigMessage(MakeConfigMessage(next, &base)));
+  auto m =
+      ParseConfigMessage(DumpConfigMessage(MakeConfigMessage(next, &base)));
   cr_assert(m.ok());
   cr_assert_eq(OpenConfigMessage(*m, &base)->text, next.text);
   cr_assert(!OpenConfigMessage(*m, nullptr).has_value());
--- a/tray/testing/world.cc
+++ b/tray/testing/world.cc
@@ -85,7 +85,8 @@
   reported_state state = s.leaving ? reported_state::kLeaving
                          : s.cold  ? reported_state::kCold
                                    : reported_state::kReady;
-  return {.stamp = {s.boot, static_cast<uint64_t>((now_ - s.booted_at) / kMillisecond)},
+  return {.stamp = {s.boot,
+                    static_cast<uint64_t>((now_ - s.booted_at) / kMillisecond)},
           .state = state,
           .cold_limit = text_->servers[server].cold_limit,
           .load = s.in_flight};
@@ -298,16 +299,26 @@
   // Whatever was down or leaving comes back now and then, cold.
   for (fake_server& other : servers_) {
     if ((other.up && !other.leaving) || Draw(2) == 0) continue;
-    other = {.boot = other.boot + 1, .booted_at = now_, .cold = true, .versions = other.versions};
+    other = {.boot = other.boot + 1,
+             .booted_at = now_,
+             .cold = true,
+             .versions = other.versions};
   }
   switch (Draw(7)) {
     case 0:  // restarts cold
     case 1:
-      s = {.boot = s.boot + 1, .booted_at = now_, .cold = true, .versions = s.versions};
+      s = {.boot = s.boot + 1,
+           .booted_at = now_,
+           .cold = true,
+           .versions = s.versions};
       break;
     case 2:
       s.up = !s.up;
-      if (s.up) s = {.boot = s.boot + 1, .booted_at = now_, .cold = true, .versions = s.versions};
+      if (s.up)
+        s = {.boot = s.boot + 1,
+             .booted_at = now_,
+             .cold = true,
+             .versions = s.versions};
       s.in_flight = 0;
       break;
     case 3:
@@ -316,7 +327,8 @@
       break;
     case 4:
       s.leaving = !s.leaving;
-      if (!s.leaving) s = {.boot = s.boot + 1, .booted_at = now_, .versions = s.versions};
+      if (!s.leaving)
+        s = {.boot = s.boot + 1, .booted_at = now_, .versions = s.versions};
       break;
     case 5:  // a new index version appears, here first or everywhere
       ++newest_version_;
--- a/tray/tool_main.cc
+++ b/tray/tool_main.cc
@@ -14,10 +14,10 @@
 #include <unistd.h>
 
 #include <fstream>
-#include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "tray/run_main.h"
 #include "tray/strings.h"
 #include "tray/text.h"
 
@@ -364,7 +364,9 @@
   return Fail(kUsage, fmt::format("wrong use; commands are\n{}", kCommands));
 }
 
-int Run(int argc, char** argv) {
+}  // namespace
+
+int RunProgram(int argc, char** argv) {
   TCLAP::CmdLine cmd("baobabtray: drives a baobabtray tier. Commands:\n" +
                          std::string(kCommands),
                      ' ', BAOBABTRAY_VERSION);
@@ -407,14 +409,8 @@
   return Dispatch(o, words.getValue());
 }
 
-}  // namespace
 }  // namespace baobabtray
 
 int main(int argc, char** argv) {
-  try {
-    return baobabtray::Run(argc, argv);
-  } catch (const std::exception& e) {
-    std::cerr << e.what() << "\n";
-    return 1;
-  }
+  return baobabtray::RunMain(baobabtray::RunProgram, argc, argv, 1);
 }
--- a/tray/traffic.cc
+++ b/tray/traffic.cc
@@ -12,6 +12,7 @@
 #include <queue>
 #include <unordered_map>
 
+#include "tray/alarm.h"
 #include "tray/backend_wire.h"
 #include "tray/callers.h"
 #include "tray/claims.h"
@@ -19,6 +20,7 @@
 #include "tray/hash.h"
 #include "tray/log.h"
 #include "tray/peer_wire.h"
+#include "tray/responses.h"
 #include "tray/serve.h"
 #include "tray/strings.h"
 
@@ -87,7 +89,7 @@
         work_(asio::make_work_guard(loop_)),
         http_(loop_),
         claims_(&http_, shared, &loop_),
-        timer_(loop_),
+        alarm_(loop_, [this] { RunTimers(); }),
         tick_(loop_),
         random_(std::random_device{}()) {}
 
@@ -362,22 +364,7 @@
     }
     live->scheduled_at = live->q.timer_at;
     timers_.push({live->q.timer_at, live->q.spec.id});
-    ArmTimer();
-  }
-
-  void ArmTimer() {
-    if (timers_.empty()) return;
-    micros at = timers_.top().at;
-    if (armed_at_ != 0 && armed_at_ <= at) return;
-    armed_at_ = at;
-    timer_.expires_at(
-        std::chrono::steady_clock::time_point(std::chrono::microseconds(at)));
-    timer_.async_wait([this](std::error_code error) {
-      if (error) return;
-      armed_at_ = 0;
-      RunTimers();
-      ArmTimer();
-    });
+    alarm_.ArmAt(timers_.top().at);
   }
 
   void RunTimers() {
@@ -396,6 +383,7 @@
              OnQueryTimer(r, q, at, paused, actions);
            });
     }
+    if (!timers_.empty()) alarm_.ArmAt(timers_.top().at);
   }
 
   void ArmTick() {
@@ -470,22 +458,11 @@
       return;
     }
     live->finish = [respond, id](const query& q) {
-      respond(ResponseTo(q, id));
+      respond(AnswerResponse(q, id));
     };
     Begin(std::move(live));
   }
 
-  static http_response ResponseTo(const query& q, const std::string& id) {
-    if (q.outcome == query_outcome::kNotRun) {
-      std::string why = q.shards.empty()
-                            ? "no index version is known yet"
-                            : "no backend server could take the request";
-      return RenderError({.status = 503, .code = "unavailable", .message = why},
-                         id);
-    }
-    return {.status = StatusOf(q.outcome), .body = RenderAnswer(q, id)};
-  }
-
   // Fills in the query's spec and admits it, or says why not.
   std::optional<caller_error> AdmitCaller(const caller_request& request,
                                           live_query* live) {
@@ -511,7 +488,8 @@
     spec.idempotent = request.idempotent.value_or(p.idempotent);
     spec.start = now;
     micros allowed = request.deadline.value_or(p.deadline);
-    spec.deadline = now + allowed - std::min(allowed / kAnswerPart, kAnswerTime);
+    spec.deadline =
+        now + allowed - std::min(allowed / kAnswerPart, kAnswerTime);
     if (p.soft_deadline != 0) spec.soft_deadline = now + p.soft_deadline;
     spec.min_coverage = p.min_coverage;
     live->customer = s->customer;
@@ -552,11 +530,11 @@
             return;
           }
           if (claim.verdict == claim_verdict::kDuplicate) {
-            respond(DuplicateResponse(claim.record, id));
+            respond(DuplicateResponse(claim.record, id, WallNowMs()));
             return;
           }
           mine->finish = [this, respond, id, claim](const query& q) {
-            http_response r = ResponseTo(q, id);
+            http_response r = AnswerResponse(q, id);
             claims_.Settle(claim, q.outcome, r.body);
             respond(std::move(r));
           };
@@ -564,30 +542,6 @@
         });
   }
 
-  // What the sender of a key that is taken is told: the outcome if it is known.
-  static http_response DuplicateResponse(const claim_record& record,
-                                         const std::string& id) {
-    if (record.state == claim_state::kDone && !record.answer.empty()) {
-      return {.status = 200,
-              .body = record.answer,
-              .headers = {{"X-Duplicate", "1"}}};
-    }
-    caller_error error{.status = 409, .outcome = query_outcome::kUnknown};
-    if (record.state == claim_state::kDone) {
-      error.code = "duplicate";
-      error.message = "the request was run; its answer was too large to keep";
-    } else if (WallNowMs() < record.until_ms) {
-      error.code = "in_progress";
-      error.message = "another request with this key is being run";
-    } else {
-      error.code = "unknown";
-      error.message =
-          "another request with this key was begun and its outcome "
-          "is not known";
-    }
-    return RenderError(error, id);
-  }
-
   // ---- Peers -------------------------------------------------------------
 
   void HandlePeer(http_request r, responder plain) {
@@ -653,28 +607,6 @@
     Begin(std::move(live));
   }
 
-  static http_response HandOverResponse(const query& q,
-                                        const std::string& attempt) {
-    http_response r{.body = "{}"};
-    const shard_state* s = q.shards.empty() ? nullptr : &q.shards[0];
-    if (s != nullptr && s->answered) {
-      std::string server;
-      if (s->answered_by >= 0) {
-        server = q.in_force->config->servers[s->answered_by].name;
-      }
-      r.headers = ReportHeaders(server, q.version, s->report);
-      r.body = s->body;
-    } else if (q.outcome == query_outcome::kNotRun) {
-      bool gone = s != nullptr && s->reason == miss_reason::kVersionGone;
-      r.status = gone ? 409 : 503;
-      r.headers.push_back({std::string(kNotRunHeader), "handed_over"});
-    } else {
-      r.status = 504;
-    }
-    r.headers.push_back({std::string(kAttemptIdHeader), attempt});
-    return r;
-  }
-
   engine& shared_;
   const int index_;
   asio::io_context loop_;
@@ -683,9 +615,8 @@
   claim_runner claims_;
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> peers_;
-  asio::steady_timer timer_;
+  alarm_clock alarm_;
   asio::steady_timer tick_;
-  micros armed_at_ = 0;  // 0: the timer is not armed
   std::mt19937_64 random_;
   uint64_t last_query_ = 0;
   std::atomic<int> in_hand_{0};
