Refuse shards out of bounds in a peer's evidence

Cause: found on reading through: versions in a digest were believed unchecked, and a shard beyond 255 would throw out of version choice on a traffic thread. Change: one check, IsSound, for reports of servers and of peers; a test.

--- a/tray/backend_wire.cc
+++ b/tray/backend_wire.cc
@@ -107,6 +107,13 @@
           {"X-Load", std::to_string(report.load)}};
 }
 
+bool IsSound(const version_report& v) {
+  if (v.total <= 0 || v.total > kMaxShardsPerService) return false;
+  if (v.shards.empty()) return true;
+  return std::is_sorted(v.shards.begin(), v.shards.end()) &&
+         v.shards.front() >= 0 && v.shards.back() < v.total;
+}
+
 absl::StatusOr<health_report> ParseHealth(std::string_view text) {
   nlohmann::json j = nlohmann::json::parse(text, nullptr, false);
   health_report h;
@@ -122,11 +129,7 @@
       version_report report{.version = v.at("version"), .total = v.at("total")};
       v.at("shards").get_to(report.shards);
       std::sort(report.shards.begin(), report.shards.end());
-      bool sound =
-          report.total > 0 && report.total <= kMaxShardsPerService &&
-          (report.shards.empty() ||
-           (report.shards.front() >= 0 && report.shards.back() < report.total));
-      if (!sound || h.versions.size() >= kMaxVersions) {
+      if (!IsSound(report) || h.versions.size() >= kMaxVersions) {
         return absl::DataLossError("versions out of bounds");
       }
       h.versions.push_back(std::move(report));
--- a/tray/backend_wire.h
+++ b/tray/backend_wire.h
@@ -45,6 +45,11 @@
 constexpr std::string_view kServerHeader = "X-Server";
 constexpr std::string_view kNotRunHeader = "X-Not-Run";
 
+// True if the shards of a version are ascending, within its total, and within
+// what a service may have. Checked before a report of a server or a peer is
+// believed.
+bool IsSound(const version_report& v);
+
 // A health report.
 struct health_report {
   server_report report;
--- a/tray/peer_wire.cc
+++ b/tray/peer_wire.cc
@@ -8,6 +8,7 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "tray/backend_wire.h"
 #include "tray/hash.h"
 #include "tray/strings.h"
 
@@ -61,6 +62,8 @@
   for (const json& v : j.at("v")) {
     version_report report{.version = v.at(0), .total = v.at(1)};
     v.at(2).get_to(report.shards);
+    if (!IsSound(report))
+      throw json::other_error::create(501, "bad version", &j);
     e.versions.push_back(std::move(report));
   }
   return e;
--- a/tray/testing/wire_test.cc
+++ b/tray/testing/wire_test.cc
@@ -130,6 +130,8 @@
   cr_assert(back.ok());
   cr_assert_eq(back->evidence[0].versions, d.evidence[0].versions);
   cr_assert_eq(back->from.incarnation, 9u);
+  d.evidence[0].versions = {{1, 2, {0, 999}}};
+  cr_assert(!ParseDigest(DumpDigest(d)).ok(), "a shard that cannot be");
 }
 
 Test(peer_wire, differences_need_their_base) {
