--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -53,7 +53,7 @@
 sleep 0.5
 say "two entry hosts start"
 for i in 1 2; do
-  "$build/baobabtrayd" --settings "$work/entry-$i.yaml" 2>"$work/entry-$i.log" &
+  "$build/baobabtrayd" --settings "$work/entry-$i.yaml" >"$work/entry-$i.log" 2>&1 &
   pids+=($!)
 done
 sleep 1
--- a/tray/alarm.h
+++ b/tray/base/alarm.h
@@ -1,14 +1,14 @@
 // One Asio timer that serves many deadlines: it is armed for the earliest and
 // calls back when that has come. Deadlines themselves are kept by the owner.
 
-#ifndef TRAY_ALARM_H_
-#define TRAY_ALARM_H_
+#ifndef TRAY_BASE_ALARM_H_
+#define TRAY_BASE_ALARM_H_
 
 #include <asio.hpp>
 #include <chrono>
 #include <functional>
 
-#include "tray/time.h"
+#include "tray/base/time.h"
 
 namespace baobabtray {
 
@@ -39,4 +39,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_ALARM_H_
+#endif  // TRAY_BASE_ALARM_H_
--- a/tray/doc.cc
+++ b/tray/base/doc.cc
@@ -4,7 +4,7 @@
 // aliases on walking, accepts duplicate keys silently, and takes about four
 // times as long for a text of 4,700 backend servers.
 
-#include "tray/doc.h"
+#include "tray/base/doc.h"
 
 #include <fmt/format.h>
 #include <yaml-cpp/eventhandler.h>
--- a/tray/doc.h
+++ b/tray/base/doc.h
@@ -13,8 +13,8 @@
 // memory are linear in the input: anchors and aliases are refused, and depth
 // and node count are bounded.
 
-#ifndef TRAY_DOC_H_
-#define TRAY_DOC_H_
+#ifndef TRAY_BASE_DOC_H_
+#define TRAY_BASE_DOC_H_
 
 #include <cstdint>
 #include <limits>
@@ -111,4 +111,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_DOC_H_
+#endif  // TRAY_BASE_DOC_H_
--- a/tray/endpoint.cc
+++ b/tray/base/endpoint.cc
@@ -1,11 +1,11 @@
 // Reads and prints endpoints. See endpoint.h.
 
-#include "tray/endpoint.h"
+#include "tray/base/endpoint.h"
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
 
-#include "tray/strings.h"
+#include "tray/base/strings.h"
 
 namespace baobabtray {
 
--- a/tray/endpoint.h
+++ b/tray/base/endpoint.h
@@ -1,7 +1,7 @@
 // An IP number with a port, as settings and the operators' text write it.
 
-#ifndef TRAY_ENDPOINT_H_
-#define TRAY_ENDPOINT_H_
+#ifndef TRAY_BASE_ENDPOINT_H_
+#define TRAY_BASE_ENDPOINT_H_
 
 #include <cstdint>
 #include <string>
@@ -26,4 +26,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_ENDPOINT_H_
+#endif  // TRAY_BASE_ENDPOINT_H_
--- a/tray/hash.cc
+++ b/tray/base/hash.cc
@@ -1,6 +1,6 @@
 // Hashing by xxHash. See hash.h.
 
-#include "tray/hash.h"
+#include "tray/base/hash.h"
 
 #include <fmt/format.h>
 #include <openssl/crypto.h>
--- a/tray/hash.h
+++ b/tray/base/hash.h
@@ -4,8 +4,8 @@
 // work out alone. Hosts ranked by score give the same owners everywhere without
 // any message, and a host that leaves moves only its own keys.
 
-#ifndef TRAY_HASH_H_
-#define TRAY_HASH_H_
+#ifndef TRAY_BASE_HASH_H_
+#define TRAY_BASE_HASH_H_
 
 #include <cstdint>
 #include <string>
@@ -30,4 +30,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_HASH_H_
+#endif  // TRAY_BASE_HASH_H_
--- a/tray/log.h
+++ b/tray/base/log.h
@@ -1,20 +1,26 @@
-// Structured logs: one JSON object a line on standard error.
+// Structured logs: one JSON object a line on standard output.
 //
 //   Log(log_level::kInfo, "query", {{"id", id}, {"outcome", "complete"}});
 //
 // prints {"time":"...","level":"info","event":"query","id":"...",...}. The
 // level can be changed while running. Safe from any thread; a line is written
 // by one call, so lines never mix.
+//
+// Never blocks and is bounded: a line is dropped if the reader of a pipe is
+// behind, or if more than the budget of lines was written in this second. Lines
+// below warning may use half of the budget, so that the unusual ones still get
+// through. The next line that is written tells in `dropped` how many were lost.
 
-#ifndef TRAY_LOG_H_
-#define TRAY_LOG_H_
+#ifndef TRAY_BASE_LOG_H_
+#define TRAY_BASE_LOG_H_
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
 #include <utility>
 
-#include "tray/names.h"
+#include "tray/base/names.h"
 
 namespace baobabtray {
 
@@ -27,6 +33,10 @@
     {log_level::kError, "error"},
 }};
 
+// Lines a second at most, unless the settings say otherwise: some 6 KB/s, the
+// part of a host's traffic that control may use.
+constexpr int kDefaultLogLines = 40;
+
 // One named value of a log line. Numbers are formatted by the caller.
 struct log_field {
   std::string_view name;
@@ -37,10 +47,16 @@
 void SetLogLevel(log_level level);
 log_level GetLogLevel();
 
+// Sets the budget in lines a second; 0: no bound.
+void SetLogBudget(int lines_per_second);
+
+// Lines lost so far to the budget or to a slow reader.
+uint64_t DroppedLogLines();
+
 // Writes one line if `level` is enabled.
 void Log(log_level level, std::string_view event,
          std::initializer_list<log_field> fields = {});
 
 }  // namespace baobabtray
 
-#endif  // TRAY_LOG_H_
+#endif  // TRAY_BASE_LOG_H_
--- a/tray/run_main.h
+++ b/tray/base/run_main.h
@@ -1,8 +1,8 @@
 // The outermost frame of every program: a library's exception ends it with a
 // line on standard error and an exit code rather than an abort.
 
-#ifndef TRAY_RUN_MAIN_H_
-#define TRAY_RUN_MAIN_H_
+#ifndef TRAY_BASE_RUN_MAIN_H_
+#define TRAY_BASE_RUN_MAIN_H_
 
 #include <exception>
 #include <iostream>
@@ -22,4 +22,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_RUN_MAIN_H_
+#endif  // TRAY_BASE_RUN_MAIN_H_
--- a/tray/strings.h
+++ b/tray/base/strings.h
@@ -1,8 +1,8 @@
 // Conversions between the standard library's strings and Abseil's, which are
 // different types in Debian's build of Abseil.
 
-#ifndef TRAY_STRINGS_H_
-#define TRAY_STRINGS_H_
+#ifndef TRAY_BASE_STRINGS_H_
+#define TRAY_BASE_STRINGS_H_
 
 #include <charconv>
 #include <optional>
@@ -37,4 +37,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_STRINGS_H_
+#endif  // TRAY_BASE_STRINGS_H_
--- a/tray/time.h
+++ b/tray/base/time.h
@@ -2,8 +2,8 @@
 // passed in by the caller. Nothing below the daemon reads a clock itself, so a
 // test can drive any order of events.
 
-#ifndef TRAY_TIME_H_
-#define TRAY_TIME_H_
+#ifndef TRAY_BASE_TIME_H_
+#define TRAY_BASE_TIME_H_
 
 #include <cstdint>
 
@@ -17,4 +17,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_TIME_H_
+#endif  // TRAY_BASE_TIME_H_
--- a/tray/bench/load_main.cc
+++ b/tray/bench/load_main.cc
@@ -21,12 +21,12 @@
 #include <set>
 #include <sstream>
 
-#include "tray/backend_wire.h"
-#include "tray/fetch.h"
-#include "tray/hash.h"
-#include "tray/run_main.h"
-#include "tray/strings.h"
-#include "tray/view.h"
+#include "tray/base/hash.h"
+#include "tray/base/run_main.h"
+#include "tray/base/strings.h"
+#include "tray/http/fetch.h"
+#include "tray/text/view.h"
+#include "tray/wire/backend_wire.h"
 
 namespace baobabtray::bench {
 namespace {
--- a/tray/bench/micro_main.cc
+++ b/tray/bench/micro_main.cc
@@ -7,10 +7,10 @@
 
 #include <string>
 
-#include "tray/delta.h"
-#include "tray/hash.h"
-#include "tray/members.h"
-#include "tray/query.h"
+#include "tray/base/hash.h"
+#include "tray/config/delta.h"
+#include "tray/members/members.h"
+#include "tray/query/query.h"
 
 namespace baobabtray::bench {
 namespace {
--- a/tray/claim.cc
+++ b/tray/config/claim.cc
@@ -1,12 +1,12 @@
 // Claims on caller-given keys. See claim.h.
 
-#include "tray/claim.h"
+#include "tray/config/claim.h"
 
 #include <fmt/format.h>
 
 #include <nlohmann/json.hpp>
 
-#include "tray/hash.h"
+#include "tray/base/hash.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/claim.h
+++ b/tray/config/claim.h
@@ -16,17 +16,17 @@
 // Afterwards the holder overwrites the claim with the outcome (kDone record)
 // or, if nothing was run, releases it, so that the caller may try again.
 
-#ifndef TRAY_CLAIM_H_
-#define TRAY_CLAIM_H_
+#ifndef TRAY_CONFIG_CLAIM_H_
+#define TRAY_CONFIG_CLAIM_H_
 
 #include <cstdint>
 #include <string>
 #include <string_view>
 
 #include "absl/status/statusor.h"
-#include "tray/edit.h"
-#include "tray/names.h"
-#include "tray/time.h"
+#include "tray/base/names.h"
+#include "tray/base/time.h"
+#include "tray/config/edit.h"
 
 namespace baobabtray {
 
@@ -81,4 +81,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_CLAIM_H_
+#endif  // TRAY_CONFIG_CLAIM_H_
--- a/tray/config.cc
+++ b/tray/config/config.cc
@@ -1,10 +1,10 @@
 // The stored configuration as JSON. See config.h.
 
-#include "tray/config.h"
+#include "tray/config/config.h"
 
 #include <nlohmann/json.hpp>
 
-#include "tray/config_json.h"
+#include "tray/config/config_json.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/config.h
+++ b/tray/config/config.h
@@ -5,8 +5,8 @@
 // that grows by one with every edit, and the last edits, by which a writer
 // whose reply was lost recognises its own.
 
-#ifndef TRAY_CONFIG_H_
-#define TRAY_CONFIG_H_
+#ifndef TRAY_CONFIG_CONFIG_H_
+#define TRAY_CONFIG_CONFIG_H_
 
 #include <cstdint>
 #include <string>
@@ -14,8 +14,8 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "tray/names.h"
-#include "tray/view.h"
+#include "tray/base/names.h"
+#include "tray/text/view.h"
 
 namespace baobabtray {
 
@@ -61,4 +61,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_CONFIG_H_
+#endif  // TRAY_CONFIG_CONFIG_H_
--- a/tray/config_json.h
+++ b/tray/config/config_json.h
@@ -1,11 +1,11 @@
 // JSON of configuration parts that the store and the administration API share.
 
-#ifndef TRAY_CONFIG_JSON_H_
-#define TRAY_CONFIG_JSON_H_
+#ifndef TRAY_CONFIG_CONFIG_JSON_H_
+#define TRAY_CONFIG_CONFIG_JSON_H_
 
 #include <nlohmann/json.hpp>
 
-#include "tray/config.h"
+#include "tray/config/config.h"
 
 namespace baobabtray {
 
@@ -14,4 +14,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_CONFIG_JSON_H_
+#endif  // TRAY_CONFIG_CONFIG_JSON_H_
--- a/tray/delta.cc
+++ b/tray/config/delta.cc
@@ -1,10 +1,10 @@
 // Differences between texts. See delta.h.
 
-#include "tray/delta.h"
+#include "tray/config/delta.h"
 
 #include <algorithm>
 
-#include "tray/hash.h"
+#include "tray/base/hash.h"
 
 namespace baobabtray {
 
--- a/tray/delta.h
+++ b/tray/config/delta.h
@@ -7,8 +7,8 @@
 // Fingerprints of both sides are checked, so a delta is never applied to the
 // wrong base.
 
-#ifndef TRAY_DELTA_H_
-#define TRAY_DELTA_H_
+#ifndef TRAY_CONFIG_DELTA_H_
+#define TRAY_CONFIG_DELTA_H_
 
 #include <cstddef>
 #include <optional>
@@ -33,4 +33,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_DELTA_H_
+#endif  // TRAY_CONFIG_DELTA_H_
--- a/tray/edit.cc
+++ b/tray/config/edit.cc
@@ -1,13 +1,13 @@
 // Edits over an unreliable store. See edit.h.
 
-#include "tray/edit.h"
+#include "tray/config/edit.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 
-#include "tray/strings.h"
-#include "tray/text.h"
+#include "tray/base/strings.h"
+#include "tray/text/text.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/edit.h
+++ b/tray/config/edit.h
@@ -16,15 +16,15 @@
 // so that the first one, should it still be on its way, must fail. Otherwise
 // `unknown`.
 
-#ifndef TRAY_EDIT_H_
-#define TRAY_EDIT_H_
+#ifndef TRAY_CONFIG_EDIT_H_
+#define TRAY_CONFIG_EDIT_H_
 
 #include <cstdint>
 #include <string>
 
-#include "tray/config.h"
-#include "tray/names.h"
-#include "tray/time.h"
+#include "tray/base/names.h"
+#include "tray/base/time.h"
+#include "tray/config/config.h"
 
 namespace baobabtray {
 
@@ -105,4 +105,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_EDIT_H_
+#endif  // TRAY_CONFIG_EDIT_H_
--- a/tray/admin.cc
+++ b/tray/daemon/admin.cc
@@ -1,16 +1,16 @@
 // The administration API. See admin.h.
 
-#include "tray/admin.h"
+#include "tray/daemon/admin.h"
 
 #include <fmt/format.h>
 
 #include <nlohmann/json.hpp>
 
-#include "tray/callers.h"
-#include "tray/config_json.h"
-#include "tray/hash.h"
-#include "tray/log.h"
-#include "tray/strings.h"
+#include "tray/base/hash.h"
+#include "tray/base/log.h"
+#include "tray/base/strings.h"
+#include "tray/config/config_json.h"
+#include "tray/wire/callers.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/admin.h
+++ b/tray/daemon/admin.h
@@ -1,15 +1,15 @@
 // The administration API: status, state dump, metrics, edits. docs/ADMIN.md is
 // its page. Everything but /metrics, /live and /ready needs the token.
 
-#ifndef TRAY_ADMIN_H_
-#define TRAY_ADMIN_H_
+#ifndef TRAY_DAEMON_ADMIN_H_
+#define TRAY_DAEMON_ADMIN_H_
 
 #include <string>
 
-#include "tray/control.h"
-#include "tray/keeper.h"
-#include "tray/members.h"
-#include "tray/serve.h"
+#include "tray/daemon/control.h"
+#include "tray/daemon/keeper.h"
+#include "tray/http/serve.h"
+#include "tray/members/members.h"
 
 namespace baobabtray {
 
@@ -41,4 +41,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_ADMIN_H_
+#endif  // TRAY_DAEMON_ADMIN_H_
--- a/tray/claims.cc
+++ b/tray/daemon/claims.cc
@@ -1,14 +1,14 @@
 // Claims over the store. See claims.h.
 
-#include "tray/claims.h"
+#include "tray/daemon/claims.h"
 
 #include <fmt/format.h>
 
 #include <asio.hpp>
 #include <chrono>
 
-#include "tray/callers.h"
-#include "tray/log.h"
+#include "tray/base/log.h"
+#include "tray/wire/callers.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/claims.h
+++ b/tray/daemon/claims.h
@@ -1,17 +1,17 @@
 // Performs claims (claim.h) against the store for one traffic thread.
 
-#ifndef TRAY_CLAIMS_H_
-#define TRAY_CLAIMS_H_
+#ifndef TRAY_DAEMON_CLAIMS_H_
+#define TRAY_DAEMON_CLAIMS_H_
 
 #include <functional>
 #include <memory>
 #include <random>
 #include <string>
 
-#include "tray/claim.h"
-#include "tray/engine.h"
-#include "tray/fetch.h"
-#include "tray/store_client.h"
+#include "tray/config/claim.h"
+#include "tray/daemon/engine.h"
+#include "tray/http/fetch.h"
+#include "tray/wire/store_client.h"
 
 namespace baobabtray {
 
@@ -58,4 +58,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_CLAIMS_H_
+#endif  // TRAY_DAEMON_CLAIMS_H_
--- a/tray/control.cc
+++ b/tray/daemon/control.cc
@@ -1,6 +1,6 @@
 // The control thread. See control.h.
 
-#include "tray/control.h"
+#include "tray/daemon/control.h"
 
 #include <fmt/format.h>
 #include <sys/resource.h>
@@ -11,13 +11,13 @@
 #include <csignal>
 #include <fstream>
 
-#include "tray/admin.h"
-#include "tray/health.h"
-#include "tray/keeper.h"
-#include "tray/log.h"
-#include "tray/peer_talk.h"
-#include "tray/serve.h"
-#include "tray/traffic.h"
+#include "tray/base/log.h"
+#include "tray/daemon/admin.h"
+#include "tray/daemon/health.h"
+#include "tray/daemon/keeper.h"
+#include "tray/daemon/peer_talk.h"
+#include "tray/daemon/traffic.h"
+#include "tray/http/serve.h"
 
 namespace baobabtray {
 namespace {
@@ -31,18 +31,6 @@
 
 }  // namespace
 
-micros SteadyNow() {
-  return std::chrono::duration_cast<std::chrono::microseconds>(
-             std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
-
-int64_t WallNowMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 void After(const control_context& c, micros delay, std::function<void()> then) {
   auto timer = std::make_shared<asio::steady_timer>(
       c.loop, std::chrono::microseconds(delay));
--- a/tray/control.h
+++ b/tray/daemon/control.h
@@ -4,8 +4,8 @@
 // administration API. It reaches the traffic threads only through the engine's
 // lock, which it holds to put a new view, live set or report in force.
 
-#ifndef TRAY_CONTROL_H_
-#define TRAY_CONTROL_H_
+#ifndef TRAY_DAEMON_CONTROL_H_
+#define TRAY_DAEMON_CONTROL_H_
 
 #include <functional>
 #include <memory>
@@ -13,9 +13,9 @@
 #include <string>
 
 #include "absl/status/status.h"
-#include "tray/engine.h"
-#include "tray/fetch.h"
-#include "tray/store_client.h"
+#include "tray/daemon/engine.h"
+#include "tray/http/fetch.h"
+#include "tray/wire/store_client.h"
 
 namespace asio {
 class io_context;
@@ -61,4 +61,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_CONTROL_H_
+#endif  // TRAY_DAEMON_CONTROL_H_
--- a/tray/daemon_main.cc
+++ b/tray/daemon/daemon_main.cc
@@ -11,13 +11,16 @@
 #include <sstream>
 #include <thread>
 
-#include "tray/control.h"
-#include "tray/engine.h"
-#include "tray/log.h"
-#include "tray/run_main.h"
-#include "tray/settings.h"
-#include "tray/strings.h"
-#include "tray/traffic.h"
+#include "platform/codec.h"
+#include "platform/store.h"
+#include "tray/base/log.h"
+#include "tray/base/run_main.h"
+#include "tray/base/strings.h"
+#include "tray/daemon/control.h"
+#include "tray/daemon/engine.h"
+#include "tray/daemon/traffic.h"
+#include "tray/relayd/relay_host.h"
+#include "tray/text/settings.h"
 
 namespace baobabtray {
 namespace {
@@ -47,6 +50,15 @@
   return own;
 }
 
+// Relays callers' requests on the platform.
+absl::Status ServePlatform(const settings& own, const std::string& path) {
+  return RunRelayHost({.own = own,
+                       .ports = {.callers = platform::CallerCodec(),
+                                 .servers = platform::ServerCodec()},
+                       .open_store = platform::OpenStore,
+                       .reload = [path] { return LoadSettings(path); }});
+}
+
 absl::Status Serve(settings own) {
   auto shared = std::make_unique<engine>();
   shared->own = own;
@@ -107,8 +119,11 @@
     return kOk;
   }
   SetLogLevel(own->level);
+  SetLogBudget(own->log_lines);
   signal(SIGPIPE, SIG_IGN);
-  absl::Status end = Serve(*own);
+  absl::Status end = own->speaks == interface_mode::kPlatform
+                         ? ServePlatform(*own, file.getValue())
+                         : Serve(*own);
   if (end.ok()) return kOk;
   Log(log_level::kError, "cannot_start", {{"reason", MessageOf(end)}});
   return kCannotStart;
--- a/tray/engine.h
+++ b/tray/daemon/engine.h
@@ -5,8 +5,8 @@
 // lock per backend server was weighed and left out: a query touches all of its
 // servers in one decision (docs/design/threads.md).
 
-#ifndef TRAY_ENGINE_H_
-#define TRAY_ENGINE_H_
+#ifndef TRAY_DAEMON_ENGINE_H_
+#define TRAY_DAEMON_ENGINE_H_
 
 #include <atomic>
 #include <functional>
@@ -14,10 +14,11 @@
 #include <string>
 #include <vector>
 
-#include "tray/admit.h"
-#include "tray/metrics.h"
-#include "tray/query.h"
-#include "tray/settings.h"
+#include "tray/base/clock.h"
+#include "tray/query/admit.h"
+#include "tray/query/query.h"
+#include "tray/text/settings.h"
+#include "tray/wire/metrics.h"
 
 namespace baobabtray {
 
@@ -47,12 +48,6 @@
   std::atomic<int64_t> background{0};  // store writes still under way
 };
 
-// Microseconds of the steady clock.
-micros SteadyNow();
-
-// Milliseconds of the wall clock since 1970.
-int64_t WallNowMs();
-
 }  // namespace baobabtray
 
-#endif  // TRAY_ENGINE_H_
+#endif  // TRAY_DAEMON_ENGINE_H_
--- a/tray/health.cc
+++ b/tray/daemon/health.cc
@@ -1,12 +1,12 @@
 // Health reports. See health.h.
 
-#include "tray/health.h"
+#include "tray/daemon/health.h"
 
 #include <algorithm>
 
-#include "tray/backend_wire.h"
-#include "tray/log.h"
-#include "tray/strings.h"
+#include "tray/base/log.h"
+#include "tray/base/strings.h"
+#include "tray/wire/backend_wire.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/health.h
+++ b/tray/daemon/health.h
@@ -6,14 +6,14 @@
 // server is read every kHealthPeriod, and at once when a reply named an unknown
 // version or when nothing is known of it.
 
-#ifndef TRAY_HEALTH_H_
-#define TRAY_HEALTH_H_
+#ifndef TRAY_DAEMON_HEALTH_H_
+#define TRAY_DAEMON_HEALTH_H_
 
 #include <string>
 #include <unordered_map>
 
-#include "tray/control.h"
-#include "tray/traffic.h"
+#include "tray/daemon/control.h"
+#include "tray/daemon/traffic.h"
 
 namespace baobabtray {
 
@@ -43,4 +43,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_HEALTH_H_
+#endif  // TRAY_DAEMON_HEALTH_H_
--- a/tray/keeper.cc
+++ b/tray/daemon/keeper.cc
@@ -1,15 +1,15 @@
 // The configuration in force. See keeper.h.
 
-#include "tray/keeper.h"
+#include "tray/daemon/keeper.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "tray/hash.h"
-#include "tray/log.h"
-#include "tray/strings.h"
+#include "tray/base/hash.h"
+#include "tray/base/log.h"
+#include "tray/base/strings.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/keeper.h
+++ b/tray/daemon/keeper.h
@@ -7,8 +7,8 @@
 //
 // Operators' edits go through edit.h against the store.
 
-#ifndef TRAY_KEEPER_H_
-#define TRAY_KEEPER_H_
+#ifndef TRAY_DAEMON_KEEPER_H_
+#define TRAY_DAEMON_KEEPER_H_
 
 #include <deque>
 #include <functional>
@@ -16,10 +16,10 @@
 #include <string>
 #include <vector>
 
-#include "tray/control.h"
-#include "tray/edit.h"
-#include "tray/members.h"
-#include "tray/peer_wire.h"
+#include "tray/config/edit.h"
+#include "tray/daemon/control.h"
+#include "tray/members/members.h"
+#include "tray/wire/peer_wire.h"
 
 namespace baobabtray {
 
@@ -98,4 +98,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_KEEPER_H_
+#endif  // TRAY_DAEMON_KEEPER_H_
--- a/tray/peer_talk.cc
+++ b/tray/daemon/peer_talk.cc
@@ -1,15 +1,15 @@
 // Digest exchange. See peer_talk.h.
 
-#include "tray/peer_talk.h"
+#include "tray/daemon/peer_talk.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <bit>
 
-#include "tray/log.h"
-#include "tray/serve.h"
-#include "tray/strings.h"
+#include "tray/base/log.h"
+#include "tray/base/strings.h"
+#include "tray/http/serve.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/peer_talk.h
+++ b/tray/daemon/peer_talk.h
@@ -5,17 +5,17 @@
 // start theirs with this host at the same mean rate. Digests are bounded in
 // members and reports, so the cost per host does not grow with the fleet.
 
-#ifndef TRAY_PEER_TALK_H_
-#define TRAY_PEER_TALK_H_
+#ifndef TRAY_DAEMON_PEER_TALK_H_
+#define TRAY_DAEMON_PEER_TALK_H_
 
 #include <string>
 #include <unordered_map>
 #include <vector>
 
-#include "tray/control.h"
-#include "tray/keeper.h"
-#include "tray/members.h"
-#include "tray/peer_wire.h"
+#include "tray/daemon/control.h"
+#include "tray/daemon/keeper.h"
+#include "tray/members/members.h"
+#include "tray/wire/peer_wire.h"
 
 namespace baobabtray {
 
@@ -62,4 +62,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_PEER_TALK_H_
+#endif  // TRAY_DAEMON_PEER_TALK_H_
--- a/tray/traffic.cc
+++ b/tray/daemon/traffic.cc
@@ -3,7 +3,7 @@
 // Every event of a query goes through Step: decide under the lock, resolve the
 // actions to addresses while still under it, then perform them without it.
 
-#include "tray/traffic.h"
+#include "tray/daemon/traffic.h"
 
 #include <fmt/format.h>
 
@@ -12,17 +12,17 @@
 #include <queue>
 #include <unordered_map>
 
-#include "tray/alarm.h"
-#include "tray/backend_wire.h"
-#include "tray/callers.h"
-#include "tray/claims.h"
-#include "tray/fetch.h"
-#include "tray/hash.h"
-#include "tray/log.h"
-#include "tray/peer_wire.h"
-#include "tray/responses.h"
-#include "tray/serve.h"
-#include "tray/strings.h"
+#include "tray/base/alarm.h"
+#include "tray/base/hash.h"
+#include "tray/base/log.h"
+#include "tray/base/strings.h"
+#include "tray/daemon/claims.h"
+#include "tray/http/fetch.h"
+#include "tray/http/serve.h"
+#include "tray/wire/backend_wire.h"
+#include "tray/wire/callers.h"
+#include "tray/wire/peer_wire.h"
+#include "tray/wire/responses.h"
 
 namespace baobabtray {
 
--- a/tray/traffic.h
+++ b/tray/daemon/traffic.h
@@ -6,14 +6,14 @@
 // bounded for the whole host; a send to it is posted there, and its result
 // back.
 
-#ifndef TRAY_TRAFFIC_H_
-#define TRAY_TRAFFIC_H_
+#ifndef TRAY_DAEMON_TRAFFIC_H_
+#define TRAY_DAEMON_TRAFFIC_H_
 
 #include <memory>
 #include <string>
 
 #include "absl/status/status.h"
-#include "tray/engine.h"
+#include "tray/daemon/engine.h"
 
 namespace asio {
 class io_context;
@@ -66,4 +66,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_TRAFFIC_H_
+#endif  // TRAY_DAEMON_TRAFFIC_H_
--- a/tray/budget.h
+++ b/tray/fleet/budget.h
@@ -4,8 +4,8 @@
 // so extra load stays within that fraction of the first attempts whatever
 // happens. The store of tokens is bounded, which bounds a burst.
 
-#ifndef TRAY_BUDGET_H_
-#define TRAY_BUDGET_H_
+#ifndef TRAY_FLEET_BUDGET_H_
+#define TRAY_FLEET_BUDGET_H_
 
 #include <algorithm>
 
@@ -30,4 +30,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_BUDGET_H_
+#endif  // TRAY_FLEET_BUDGET_H_
--- a/tray/evidence.h
+++ b/tray/fleet/evidence.h
@@ -7,14 +7,14 @@
 // may mislead, so they may only lower trust at once; raising it is left to
 // replies.
 
-#ifndef TRAY_EVIDENCE_H_
-#define TRAY_EVIDENCE_H_
+#ifndef TRAY_FLEET_EVIDENCE_H_
+#define TRAY_FLEET_EVIDENCE_H_
 
 #include <cstdint>
 #include <string>
 #include <vector>
 
-#include "tray/names.h"
+#include "tray/base/names.h"
 
 namespace baobabtray {
 
@@ -57,4 +57,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_EVIDENCE_H_
+#endif  // TRAY_FLEET_EVIDENCE_H_
--- a/tray/fleet.cc
+++ b/tray/fleet/fleet.cc
@@ -1,11 +1,11 @@
 // Carries knowledge over changes of the text and of the live set. See fleet.h.
 
-#include "tray/fleet.h"
+#include "tray/fleet/fleet.h"
 
 #include <algorithm>
 
-#include "tray/hash.h"
-#include "tray/hedge.h"
+#include "tray/base/hash.h"
+#include "tray/fleet/hedge.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/fleet.h
+++ b/tray/fleet/fleet.h
@@ -3,8 +3,8 @@
 //
 // Memory is about 600 bytes per backend server: 4,700 servers take under 3 MB.
 
-#ifndef TRAY_FLEET_H_
-#define TRAY_FLEET_H_
+#ifndef TRAY_FLEET_FLEET_H_
+#define TRAY_FLEET_FLEET_H_
 
 #include <cstdint>
 #include <memory>
@@ -13,14 +13,14 @@
 #include <string_view>
 #include <vector>
 
-#include "tray/budget.h"
-#include "tray/endpoint.h"
-#include "tray/evidence.h"
-#include "tray/latency.h"
-#include "tray/shares.h"
-#include "tray/time.h"
-#include "tray/view.h"
-#include "tray/window.h"
+#include "tray/base/endpoint.h"
+#include "tray/base/time.h"
+#include "tray/fleet/budget.h"
+#include "tray/fleet/evidence.h"
+#include "tray/fleet/latency.h"
+#include "tray/fleet/shares.h"
+#include "tray/fleet/window.h"
+#include "tray/text/view.h"
 
 namespace baobabtray {
 
@@ -102,4 +102,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_FLEET_H_
+#endif  // TRAY_FLEET_FLEET_H_
--- a/tray/hedge.cc
+++ b/tray/fleet/hedge.cc
@@ -1,6 +1,6 @@
 // Hedging decisions. See hedge.h.
 
-#include "tray/hedge.h"
+#include "tray/fleet/hedge.h"
 
 #include <algorithm>
 
--- a/tray/hedge.h
+++ b/tray/fleet/hedge.h
@@ -14,13 +14,13 @@
 // than kFewShards open is hedged only while a fifth of the budget is left:
 // hedging some of its late shards would cost and not make it faster.
 
-#ifndef TRAY_HEDGE_H_
-#define TRAY_HEDGE_H_
+#ifndef TRAY_FLEET_HEDGE_H_
+#define TRAY_FLEET_HEDGE_H_
 
-#include "tray/budget.h"
-#include "tray/latency.h"
-#include "tray/settings.h"
-#include "tray/time.h"
+#include "tray/base/time.h"
+#include "tray/fleet/budget.h"
+#include "tray/fleet/latency.h"
+#include "tray/text/settings.h"
 
 namespace baobabtray {
 
@@ -49,4 +49,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_HEDGE_H_
+#endif  // TRAY_FLEET_HEDGE_H_
--- a/tray/latency.cc
+++ b/tray/fleet/latency.cc
@@ -1,6 +1,6 @@
 // Decaying latency histogram. See latency.h.
 
-#include "tray/latency.h"
+#include "tray/fleet/latency.h"
 
 #include <algorithm>
 
--- a/tray/latency.h
+++ b/tray/fleet/latency.h
@@ -6,13 +6,13 @@
 // quantiles that are used are recomputed every kRefresh values. They are exact
 // to within a quarter.
 
-#ifndef TRAY_LATENCY_H_
-#define TRAY_LATENCY_H_
+#ifndef TRAY_FLEET_LATENCY_H_
+#define TRAY_FLEET_LATENCY_H_
 
 #include <array>
 #include <cstdint>
 
-#include "tray/time.h"
+#include "tray/base/time.h"
 
 namespace baobabtray {
 
@@ -41,4 +41,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_LATENCY_H_
+#endif  // TRAY_FLEET_LATENCY_H_
--- a/tray/shares.cc
+++ b/tray/fleet/shares.cc
@@ -1,10 +1,10 @@
 // Divides capacity by rendezvous ranking. See shares.h.
 
-#include "tray/shares.h"
+#include "tray/fleet/shares.h"
 
 #include <algorithm>
 
-#include "tray/hash.h"
+#include "tray/base/hash.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/shares.h
+++ b/tray/fleet/shares.h
@@ -11,8 +11,8 @@
 // moment when a host comes or goes; window.h lowers a share at once and raises
 // it only after a delay, so that the sum stays bounded meanwhile.
 
-#ifndef TRAY_SHARES_H_
-#define TRAY_SHARES_H_
+#ifndef TRAY_FLEET_SHARES_H_
+#define TRAY_FLEET_SHARES_H_
 
 #include <cstdint>
 #include <span>
@@ -43,4 +43,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_SHARES_H_
+#endif  // TRAY_FLEET_SHARES_H_
--- a/tray/window.cc
+++ b/tray/fleet/window.cc
@@ -1,10 +1,10 @@
 // The in-flight window of one backend server. See window.h.
 
-#include "tray/window.h"
+#include "tray/fleet/window.h"
 
 #include <algorithm>
 
-#include "tray/shares.h"
+#include "tray/fleet/shares.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/window.h
+++ b/tray/fleet/window.h
@@ -19,14 +19,14 @@
 // it, and learn from the answer. Growth is driven by replies, never by time
 // alone, so a server that answers slowly fills slowly. All functions are O(1).
 
-#ifndef TRAY_WINDOW_H_
-#define TRAY_WINDOW_H_
+#ifndef TRAY_FLEET_WINDOW_H_
+#define TRAY_FLEET_WINDOW_H_
 
 #include <cstdint>
 
-#include "tray/evidence.h"
-#include "tray/names.h"
-#include "tray/time.h"
+#include "tray/base/names.h"
+#include "tray/base/time.h"
+#include "tray/fleet/evidence.h"
 
 namespace baobabtray {
 
@@ -119,4 +119,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_WINDOW_H_
+#endif  // TRAY_FLEET_WINDOW_H_
--- a/tray/fetch.cc
+++ b/tray/http/fetch.cc
@@ -5,7 +5,7 @@
 // changes of interest cost one epoll_ctl each. Timers of all pools share one
 // Asio timer.
 
-#include "tray/fetch.h"
+#include "tray/http/fetch.h"
 
 #include <curl/curl.h>
 #include <fmt/format.h>
@@ -15,32 +15,28 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <asio.hpp>
 #include <chrono>
+#include <cstdlib>
 #include <map>
 #include <mutex>
 #include <set>
 #include <unordered_map>
 
-#include "tray/alarm.h"
+#include "tray/base/alarm.h"
+#include "tray/base/clock.h"
 
 namespace baobabtray {
 namespace {
 
-constexpr long kConnectTimeoutMs = 1000;
 // An idle connection older than this is not used again: middleboxes forget.
 constexpr long kMaxIdleSeconds = 30;
 // Unacknowledged data older than this closes the connection.
 constexpr int kTcpUserTimeoutMs = 2000;
 constexpr int kEventsPerRound = 64;
 
-micros SteadyNow() {
-  return std::chrono::duration_cast<std::chrono::microseconds>(
-             std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
-
 bool HasPrefix(std::string_view line, std::string_view prefix) {
   return line.size() >= prefix.size() &&
          strncasecmp(line.data(), prefix.data(), prefix.size()) == 0;
@@ -66,6 +62,14 @@
   return "";
 }
 
+std::string EscapeForQuery(std::string_view text) {
+  char* escaped =
+      curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size()));
+  std::string result = escaped == nullptr ? "" : escaped;
+  curl_free(escaped);
+  return result;
+}
+
 class fetcher::impl {
  public:
   explicit impl(asio::io_context& loop)
@@ -114,13 +118,15 @@
   }
 
   size_t in_flight() const { return transfers_.size(); }
+  uint64_t connections_opened() const { return connections_opened_; }
 
  private:
   struct pool {
     impl* owner = nullptr;
     CURLM* multi = nullptr;
     int connections = kDefaultConnections;
-    micros timer_at = 0;  // 0: none
+    long max_idle_seconds = kMaxIdleSeconds;  // lowered by Keep-Alive headers
+    micros timer_at = 0;                      // 0: none
   };
 
   struct transfer {
@@ -134,12 +140,13 @@
     bool id_seen = false;
     bool id_wrong = false;
     bool framed = false;  // the reply states where its body ends
+    int sends = 0;        // times that libcurl was about to send the request
 
     // At the end of the head: refuses a reply to another request, and one whose
     // end could not be told from a cut.
     bool AcceptHead() {
       if (!request.attempt_id.empty() && !id_seen) id_wrong = true;
-      return !id_wrong && framed;
+      return !id_wrong && (framed || request.accept_unframed);
     }
   };
 
@@ -182,11 +189,17 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMs);
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, r.path.c_str());
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(r.connect_timeout / kMillisecond + 1));
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
                      static_cast<long>(r.timeout / kMillisecond + 1));
-    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, t->home->max_idle_seconds);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, OnNewSocket);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, this);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnBeforeSend);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, t);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, t);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
@@ -195,8 +208,11 @@
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
-    if (r.method == "GET") {
+    bool has_body = r.body != nullptr && !r.body->empty();
+    if (r.method == "GET" && !has_body) {
       curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+    } else if (r.method == "HEAD") {
+      curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
     } else {
       curl_easy_setopt(easy, CURLOPT_POST, 1L);
       if (r.method != "POST") {
@@ -209,14 +225,16 @@
       curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                        static_cast<curl_off_t>(body.size()));
       t->headers = curl_slist_append(t->headers, "Expect:");
-      t->headers =
-          curl_slist_append(t->headers, "Content-Type: application/json");
+      std::string line =
+          fmt::format("Content-Type:{}{}", r.content_type.empty() ? "" : " ",
+                      r.content_type);
+      t->headers = curl_slist_append(t->headers, line.c_str());
     }
     for (const std::string& h : r.headers) {
       t->headers = curl_slist_append(t->headers, h.c_str());
     }
     if (!r.attempt_id.empty()) {
-      std::string line = fmt::format("{}: {}", kAttemptIdHeader, r.attempt_id);
+      std::string line = fmt::format("{}: {}", r.id_header, r.attempt_id);
       t->headers = curl_slist_append(t->headers, line.c_str());
     }
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, t->headers);
@@ -230,12 +248,33 @@
     idle_handles_.push_back(t->easy);
   }
 
-  static int OnNewSocket(void*, curl_socket_t fd, curlsocktype) {
+  static int OnNewSocket(void* arg, curl_socket_t fd, curlsocktype) {
+    ++static_cast<impl*>(arg)->connections_opened_;
     int timeout = kTcpUserTimeoutMs;
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
     return CURL_SOCKOPT_OK;
   }
 
+  // Called on a usable connection, before each time the request is sent.
+  static int OnBeforeSend(void* arg, char*, char*, int, int) {
+    auto* t = static_cast<transfer*>(arg);
+    bool again = ++t->sends > 1;
+    return again && t->request.send_once ? CURL_PREREQFUNC_ABORT
+                                         : CURL_PREREQFUNC_OK;
+  }
+
+  // Keeps the time after which the server closes idle connections, less a
+  // second in which a request could cross that close.
+  static void NoteKeepAlive(pool* p, std::string_view value) {
+    constexpr std::string_view kTimeout = "timeout=";
+    size_t at = value.find(kTimeout);
+    if (at == std::string_view::npos) return;
+    long seconds =
+        std::atol(std::string(value.substr(at + kTimeout.size())).c_str());
+    if (seconds <= 0) return;
+    p->max_idle_seconds = std::clamp(seconds - 1, 1L, kMaxIdleSeconds);
+  }
+
   static size_t OnBody(char* data, size_t size, size_t count, void* arg) {
     auto* t = static_cast<transfer*>(arg);
     if (t->result.body.size() + size * count > kMaxReplyBytes) return 0;
@@ -253,12 +292,13 @@
         HasPrefix(line, "transfer-encoding:")) {
       t->framed = true;
     }
-    if (!HasPrefix(line, "x-")) return size * count;
     std::string_view name = line.substr(0, colon);
     std::string_view value = Trim(line.substr(colon + 1));
+    if (HasPrefix(line, "keep-alive:")) NoteKeepAlive(t->home, value);
+    if (!t->request.all_headers && !HasPrefix(line, "x-")) return size * count;
     if (!t->request.attempt_id.empty() &&
-        name.size() == kAttemptIdHeader.size() &&
-        HasPrefix(name, kAttemptIdHeader)) {
+        name.size() == t->request.id_header.size() &&
+        HasPrefix(name, t->request.id_header)) {
       t->id_seen = true;
       if (value != t->request.attempt_id) t->id_wrong = true;
     }
@@ -360,15 +400,14 @@
   }
 
   static void Conclude(transfer* t, CURLcode code) {
-    long status = 0, sent = 0;
+    long status = 0;
     curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
-    curl_easy_getinfo(t->easy, CURLINFO_REQUEST_SIZE, &sent);
     t->result.status = static_cast<int>(status);
     if (code == CURLE_OK) {
       t->result.fault = fetch_fault::kNone;
     } else if (t->id_wrong) {
       t->result.fault = fetch_fault::kCrossed;
-    } else if (sent == 0) {
+    } else if (t->sends == 0) {
       t->result.fault = fetch_fault::kNotSent;
     } else if (code == CURLE_OPERATION_TIMEDOUT) {
       t->result.fault = fetch_fault::kTimedOut;
@@ -387,6 +426,7 @@
   std::unordered_map<int, pool*> watched_;
   std::set<std::pair<micros, pool*>> timers_;
   std::vector<CURL*> idle_handles_;
+  uint64_t connections_opened_ = 0;
 };
 
 fetcher::fetcher(asio::io_context& loop) : impl_(new impl(loop)) {}
@@ -404,4 +444,8 @@
 
 size_t fetcher::in_flight() const { return impl_->in_flight(); }
 
+uint64_t fetcher::connections_opened() const {
+  return impl_->connections_opened();
+}
+
 }  // namespace baobabtray
--- a/tray/fetch.h
+++ b/tray/http/fetch.h
@@ -12,10 +12,12 @@
 //
 // libcurl sends a request again by itself when a reused connection dies before
 // the first byte of the reply, POST included. A request with `fresh` set goes
-// on a new connection that is not reused, for which libcurl does not do that.
+// on a new connection that is not reused, for which libcurl does not do that;
+// one with `send_once` set may reuse a connection, and libcurl's second try is
+// stopped before a byte of it is sent.
 
-#ifndef TRAY_FETCH_H_
-#define TRAY_FETCH_H_
+#ifndef TRAY_HTTP_FETCH_H_
+#define TRAY_HTTP_FETCH_H_
 
 #include <cstdint>
 #include <functional>
@@ -25,9 +27,9 @@
 #include <utility>
 #include <vector>
 
-#include "tray/endpoint.h"
-#include "tray/names.h"
-#include "tray/time.h"
+#include "tray/base/endpoint.h"
+#include "tray/base/names.h"
+#include "tray/base/time.h"
 
 namespace asio {
 class io_context;
@@ -44,12 +46,18 @@
 struct fetch_request {
   std::string method = "POST";
   endpoint to;
-  std::string path = "/";
-  std::vector<std::string> headers;         // "Name: value"
-  std::shared_ptr<const std::string> body;  // may be null
+  std::string path = "/";            // with the query part; sent as it is
+  std::vector<std::string> headers;  // "Name: value"
+  std::shared_ptr<const std::string> body;        // may be null
+  std::string content_type = "application/json";  // of a body; empty: none
   micros timeout = 1 * kSecond;
+  micros connect_timeout = 1 * kSecond;
   bool fresh = false;      // on a connection of its own, never resent
+  bool send_once = false;  // never resent, also on a reused connection
   std::string attempt_id;  // not empty: sent, and the reply must echo it
+  std::string id_header = std::string(kAttemptIdHeader);  // that carries it
+  bool accept_unframed = false;  // a body may end with its connection
+  bool all_headers = false;      // keep all headers of the reply, not only "X-"
 };
 
 enum class fetch_fault {
@@ -70,7 +78,8 @@
 struct fetch_result {
   fetch_fault fault = fetch_fault::kNone;
   int status = 0;
-  // Headers of the reply whose names start with "X-", with names as sent.
+  // Headers of the reply whose names start with "X-", or all of them, with
+  // names as sent.
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
 };
@@ -78,6 +87,9 @@
 // Value of header `name` (any case) in a result, or "".
 std::string_view HeaderOf(const fetch_result& result, std::string_view name);
 
+// `text` as a value in the query part of a path.
+std::string EscapeForQuery(std::string_view text);
+
 using fetch_callback = std::function<void(fetch_result)>;
 
 class fetcher {
@@ -100,6 +112,9 @@
   // Requests under way.
   size_t in_flight() const;
 
+  // Connections opened so far.
+  uint64_t connections_opened() const;
+
   static constexpr int kDefaultConnections = 16;
 
  private:
@@ -109,4 +124,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_FETCH_H_
+#endif  // TRAY_HTTP_FETCH_H_
--- a/tray/serve.cc
+++ b/tray/http/serve.cc
@@ -1,17 +1,18 @@
 // RESTinio behind a narrow interface. See serve.h.
 
-#include "tray/serve.h"
+#include "tray/http/serve.h"
 
 #include <fmt/format.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <asio.hpp>
-#include <cctype>
 #include <chrono>
 #include <restinio/all.hpp>
 
-#include "tray/log.h"
+#include "absl/strings/match.h"
+#include "tray/base/log.h"
+#include "tray/base/strings.h"
 
 namespace baobabtray {
 namespace {
@@ -22,23 +23,56 @@
 constexpr size_t kHardHeadBytes = 256 << 10;
 constexpr size_t kHardFieldCount = 200;
 
+// Connections' timers look at the time this often; the bounds that they keep
+// are tens of seconds long.
+constexpr auto kTimerPeriod = std::chrono::seconds(5);
+
+// Passes on that a connection has closed.
+struct close_listener {
+  close_handler on_close;
+  void state_changed(const restinio::connection_state::notice_t& notice) {
+    if (!on_close) return;
+    if (std::holds_alternative<restinio::connection_state::closed_t>(
+            notice.cause())) {
+      on_close(notice.connection_id());
+    }
+  }
+};
+
 struct server_traits : public restinio::default_single_thread_traits_t {
-  // RESTinio looks for this name.
+  // RESTinio looks for these names.
   static constexpr bool use_connection_count_limiter = true;  // NOLINT
+  using connection_state_listener_t = close_listener;         // NOLINT
 };
 using restinio_server = restinio::http_server_t<server_traits>;
 using share_port_option =
     asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
-std::string Lower(std::string_view s) {
-  std::string lower(s);
-  for (char& c : lower) c = static_cast<char>(std::tolower(c));
-  return lower;
+// Reason phrase of the statuses that the tier itself gives, or a general one.
+std::string_view ReasonOf(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return status < 400 ? "OK" : "Error";
+  }
 }
 
 // Copies a request; returns the size of its head.
 size_t CopyRequest(const restinio::request_t& from, http_request* to) {
   to->method = from.header().method().c_str();
+  to->target = from.header().request_target();
+  to->connection = from.connection_id();
   auto path = from.header().path();
   to->path.assign(path.data(), path.size());
   auto query = from.header().query();
@@ -47,7 +81,7 @@
   size_t head = to->path.size() + to->query.size();
   from.header().for_each_field([&](const restinio::http_header_field_t& field) {
     head += field.name().size() + field.value().size();
-    to->headers.emplace_back(Lower(field.name()), field.value());
+    to->headers.emplace_back(field.name(), field.value());
   });
   return head;
 }
@@ -56,9 +90,11 @@
              http_response response) {
   auto builder = request->create_response(restinio::http_status_line_t{
       restinio::http_status_code_t{static_cast<uint16_t>(response.status)},
-      response.status < 400 ? "OK" : "Error"});
-  builder.append_header(restinio::http_field::content_type,
-                        std::move(response.content_type));
+      std::string(ReasonOf(response.status))});
+  if (!response.content_type.empty()) {
+    builder.append_header(restinio::http_field::content_type,
+                          std::move(response.content_type));
+  }
   for (auto& [name, value] : response.headers) {
     builder.append_header(std::move(name), std::move(value));
   }
@@ -80,7 +116,7 @@
 
 std::string_view HeaderOf(const http_request& request, std::string_view name) {
   for (const auto& [known, value] : request.headers) {
-    if (known == name) return value;
+    if (absl::EqualsIgnoreCase(ToAbsl(known), ToAbsl(name))) return value;
   }
   return "";
 }
@@ -124,6 +160,10 @@
         .handle_request_timeout(std::chrono::seconds(700))
         .write_http_response_timelimit(std::chrono::seconds(30))
         .max_parallel_connections(options_.max_connections)
+        .max_pipelined_requests(options_.on_close ? 2 : 1)
+        .connection_state_listener(
+            std::make_shared<close_listener>(close_listener{options_.on_close}))
+        .timer_manager(kTimerPeriod)
         .buffer_size(8 << 10)
         .incoming_http_msg_limits(
             restinio::incoming_http_msg_limits_t{}
--- a/tray/serve.h
+++ b/tray/http/serve.h
@@ -6,9 +6,10 @@
 // now or later, from any thread, through the responder. RESTinio's headers are
 // included by serve.cc alone, which keeps builds fast.
 
-#ifndef TRAY_SERVE_H_
-#define TRAY_SERVE_H_
+#ifndef TRAY_HTTP_SERVE_H_
+#define TRAY_HTTP_SERVE_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -17,7 +18,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "tray/endpoint.h"
+#include "tray/base/endpoint.h"
 
 namespace asio {
 class io_context;
@@ -27,14 +28,15 @@
 
 struct http_request {
   std::string method;
-  std::string path;   // without the query part
-  std::string query;  // after '?', as sent
+  std::string target;  // path and query as sent, never normalised
+  std::string path;    // without the query part
+  std::string query;   // after '?', as sent
   std::string body;
-  // Header names in lower case.
-  std::vector<std::pair<std::string, std::string>> headers;
+  std::vector<std::pair<std::string, std::string>> headers;  // names as sent
+  uint64_t connection = 0;  // that it came on; unique within one server
 };
 
-// Value of header `name` (in lower case), or "".
+// Value of header `name` (any case), or "".
 std::string_view HeaderOf(const http_request& request, std::string_view name);
 
 // Value of `name` in the query part, or "". No escapes are decoded.
@@ -43,11 +45,14 @@
 struct http_response {
   int status = 200;
   std::string body;
-  std::string content_type = "application/json";
+  std::string content_type = "application/json";  // empty: no such header
   std::vector<std::pair<std::string, std::string>> headers;
   bool close = false;  // close the connection afterwards
 };
 
+// Told when a connection has closed, whichever end closed it.
+using close_handler = std::function<void(uint64_t connection)>;
+
 // Sends the response to one request. Copyable; the first call counts.
 using responder = std::function<void(http_response)>;
 using http_handler = std::function<void(http_request, responder)>;
@@ -59,6 +64,9 @@
   size_t max_head = 16 << 10;  // larger heads get 431
   int message_seconds = 30;    // time for a request to arrive, idle included
   size_t max_connections = 4096;
+  // Set: a caller's close is noticed while its request runs. The connection is
+  // then read on meanwhile, and may carry one pipelined request.
+  close_handler on_close;
 };
 
 class http_server {
@@ -81,4 +89,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_SERVE_H_
+#endif  // TRAY_HTTP_SERVE_H_
--- a/tray/members.cc
+++ b/tray/members/members.cc
@@ -1,6 +1,6 @@
 // Membership by random exchange of digests. See members.h.
 
-#include "tray/members.h"
+#include "tray/members/members.h"
 
 #include <algorithm>
 #include <bit>
--- a/tray/members.h
+++ b/tray/members/members.h
@@ -13,8 +13,8 @@
 // the division of shares for kShareMemory after its death, so that hosts that
 // are cut from each other do not both take over its shares at once.
 
-#ifndef TRAY_MEMBERS_H_
-#define TRAY_MEMBERS_H_
+#ifndef TRAY_MEMBERS_MEMBERS_H_
+#define TRAY_MEMBERS_MEMBERS_H_
 
 #include <cstdint>
 #include <map>
@@ -23,10 +23,10 @@
 #include <string>
 #include <vector>
 
-#include "tray/endpoint.h"
-#include "tray/fleet.h"
-#include "tray/names.h"
-#include "tray/time.h"
+#include "tray/base/endpoint.h"
+#include "tray/base/names.h"
+#include "tray/base/time.h"
+#include "tray/fleet/fleet.h"
 
 namespace baobabtray {
 
@@ -96,4 +96,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_MEMBERS_H_
+#endif  // TRAY_MEMBERS_MEMBERS_H_
--- a/tray/admit.cc
+++ b/tray/query/admit.cc
@@ -1,10 +1,10 @@
 // Admission of queries. See admit.h.
 
-#include "tray/admit.h"
+#include "tray/query/admit.h"
 
 #include <algorithm>
 
-#include "tray/hash.h"
+#include "tray/base/hash.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/admit.h
+++ b/tray/query/admit.h
@@ -13,13 +13,13 @@
 //
 // Cost: linear in the shards of the query.
 
-#ifndef TRAY_ADMIT_H_
-#define TRAY_ADMIT_H_
+#ifndef TRAY_QUERY_ADMIT_H_
+#define TRAY_QUERY_ADMIT_H_
 
 #include <unordered_map>
 
-#include "tray/names.h"
-#include "tray/query.h"
+#include "tray/base/names.h"
+#include "tray/query/query.h"
 
 namespace baobabtray {
 
@@ -59,4 +59,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_ADMIT_H_
+#endif  // TRAY_QUERY_ADMIT_H_
--- a/tray/choose.cc
+++ b/tray/query/choose.cc
@@ -1,6 +1,6 @@
 // Replica choice. See choose.h.
 
-#include "tray/choose.h"
+#include "tray/query/choose.h"
 
 #include <algorithm>
 #include <array>
--- a/tray/choose.h
+++ b/tray/query/choose.h
@@ -13,15 +13,15 @@
 // Without room the shard waits, or goes to a peer that owns a share when this
 // host holds none. Cost: linear in the replicas of the shard.
 
-#ifndef TRAY_CHOOSE_H_
-#define TRAY_CHOOSE_H_
+#ifndef TRAY_QUERY_CHOOSE_H_
+#define TRAY_QUERY_CHOOSE_H_
 
 #include <cstdint>
 #include <span>
 
-#include "tray/fleet.h"
-#include "tray/settings.h"
-#include "tray/text.h"
+#include "tray/fleet/fleet.h"
+#include "tray/text/settings.h"
+#include "tray/text/text.h"
 
 namespace baobabtray {
 
@@ -78,4 +78,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_CHOOSE_H_
+#endif  // TRAY_QUERY_CHOOSE_H_
--- a/tray/query.cc
+++ b/tray/query/query.cc
@@ -1,6 +1,6 @@
 // The life of one query. See query.h.
 
-#include "tray/query.h"
+#include "tray/query/query.h"
 
 #include <algorithm>
 #include <array>
--- a/tray/query.h
+++ b/tray/query/query.h
@@ -25,8 +25,8 @@
 // replies are left to arrive rather than cancelled. A finished query has to be
 // kept until HasOpenAttempts is false, for the sake of such attempts.
 
-#ifndef TRAY_QUERY_H_
-#define TRAY_QUERY_H_
+#ifndef TRAY_QUERY_QUERY_H_
+#define TRAY_QUERY_QUERY_H_
 
 #include <cstdint>
 #include <memory>
@@ -35,11 +35,11 @@
 #include <vector>
 
 #include "absl/container/inlined_vector.h"
-#include "tray/choose.h"
-#include "tray/fleet.h"
-#include "tray/hedge.h"
-#include "tray/snapshot.h"
-#include "tray/waiting.h"
+#include "tray/fleet/fleet.h"
+#include "tray/fleet/hedge.h"
+#include "tray/query/choose.h"
+#include "tray/query/snapshot.h"
+#include "tray/query/waiting.h"
 
 namespace baobabtray {
 
@@ -217,4 +217,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_QUERY_H_
+#endif  // TRAY_QUERY_QUERY_H_
--- a/tray/snapshot.cc
+++ b/tray/query/snapshot.cc
@@ -1,6 +1,6 @@
 // Version choice. See snapshot.h.
 
-#include "tray/snapshot.h"
+#include "tray/query/snapshot.h"
 
 #include <algorithm>
 #include <bitset>
--- a/tray/snapshot.h
+++ b/tray/query/snapshot.h
@@ -8,15 +8,15 @@
 //
 // Cost: linear in the servers of the services touched, times the few versions.
 
-#ifndef TRAY_SNAPSHOT_H_
-#define TRAY_SNAPSHOT_H_
+#ifndef TRAY_QUERY_SNAPSHOT_H_
+#define TRAY_QUERY_SNAPSHOT_H_
 
 #include <cstdint>
 #include <optional>
 #include <span>
 #include <vector>
 
-#include "tray/fleet.h"
+#include "tray/fleet/fleet.h"
 
 namespace baobabtray {
 
@@ -38,4 +38,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_SNAPSHOT_H_
+#endif  // TRAY_QUERY_SNAPSHOT_H_
--- a/tray/waiting.cc
+++ b/tray/query/waiting.cc
@@ -1,6 +1,6 @@
 // Fair queues of waiting shard requests. See waiting.h.
 
-#include "tray/waiting.h"
+#include "tray/query/waiting.h"
 
 #include <algorithm>
 
--- a/tray/waiting.h
+++ b/tray/query/waiting.h
@@ -6,8 +6,8 @@
 // part of a full tier. Adding, taking and dropping are logarithmic in one
 // queue.
 
-#ifndef TRAY_WAITING_H_
-#define TRAY_WAITING_H_
+#ifndef TRAY_QUERY_WAITING_H_
+#define TRAY_QUERY_WAITING_H_
 
 #include <array>
 #include <cstdint>
@@ -15,8 +15,8 @@
 #include <optional>
 #include <unordered_map>
 
-#include "tray/text.h"
-#include "tray/time.h"
+#include "tray/base/time.h"
+#include "tray/text/text.h"
 
 namespace baobabtray {
 
@@ -83,4 +83,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_WAITING_H_
+#endif  // TRAY_QUERY_WAITING_H_
--- /dev/null
+++ b/tray/relay/extra.h
@@ -0,0 +1,44 @@
+// Bounds the extra requests that a service gets: hedges and retries.
+//
+// Over all hosts and within any window, extra requests may be at most
+// ratio x first requests + floor. Each host keeps to that ratio of its own
+// first requests and to its part of the floor, so that the sum holds without a
+// word between hosts. Counts are kept in slices of the window; a window is
+// reckoned one slice too long for extras and one too short for firsts, so any
+// span of the window's length holds the bound. 100 bytes; all calls are
+// O(slices).
+
+#ifndef TRAY_RELAY_EXTRA_H_
+#define TRAY_RELAY_EXTRA_H_
+
+#include <array>
+
+#include "tray/base/time.h"
+
+namespace baobabtray {
+
+struct extra_bounds {
+  double ratio = 0.2;
+  double floor = 0;  // this host's part
+  micros window = 10 * kSecond;
+};
+
+struct extra_window {
+  static constexpr int kSlices = 11;  // of a tenth of the window each
+  std::array<int, kSlices> firsts = {};
+  std::array<int, kSlices> extras = {};
+  int64_t slice = 0;  // number of the newest one
+};
+
+// A first request was sent.
+void CountFirst(extra_window* w, const extra_bounds& b, micros now);
+
+// Counts one extra request if the bound allows it.
+bool SpendExtra(extra_window* w, const extra_bounds& b, micros now);
+
+// Extra requests that the bound allows at `now`.
+double ExtraLeft(extra_window* w, const extra_bounds& b, micros now);
+
+}  // namespace baobabtray
+
+#endif  // TRAY_RELAY_EXTRA_H_
--- /dev/null
+++ b/tray/relay/servers.h
@@ -0,0 +1,165 @@
+// The backend servers that registered themselves, as one host sees them, and
+// the choice among them.
+//
+//   PutServer(&pool, entry, now);            // an entry was written
+//   RemoveServer(&pool, id, now);            // it was deleted, or has lapsed
+//   server_ref s = PickServer(&pool, {.service = "a", .now = now});
+//   OnSent(s.get(), attempt, now);
+//   OnServed(s.get(), attempt, load, now);   // or OnFailed, OnRefused, ...
+//
+// A choice takes the smallest expected time: the server's running mean of
+// latencies, or the age of its oldest open attempt if that is more, times the
+// length of its queue. A paused server is thus avoided from the moment at which
+// its first reply is overdue, and tried again as its mean decays. The running
+// mean is that of the paper's trace table (one part in five for the newest
+// value; docs/design/choice.md), without its search for untried entries: a far
+// server stays untried until a near one is slow.
+//
+// Memory is about 400 bytes a server. PickServer is linear in the servers of
+// one service.
+
+#ifndef TRAY_RELAY_SERVERS_H_
+#define TRAY_RELAY_SERVERS_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "absl/container/inlined_vector.h"
+#include "tray/base/endpoint.h"
+#include "tray/base/names.h"
+#include "tray/base/time.h"
+#include "tray/fleet/latency.h"
+#include "tray/relay/extra.h"
+#include "tray/routes/routes.h"
+
+namespace baobabtray {
+
+// What a backend server says of itself.
+struct registered_server {
+  std::string id;  // unique over all services and times
+  std::string service;
+  endpoint address;  // another server may have it later
+  std::string data_centre;
+  int slots = 1;
+  bool leaving = false;
+  micros cold_for = 0;     // from now on
+  int64_t started_ms = 0;  // wall clock of its start; another value: it knows
+                           // nothing of before
+};
+
+// Load as reported in a reply.
+struct reported_load {
+  int running = 0;
+  int waiting = 0;
+};
+
+struct open_attempt {
+  uint64_t id = 0;
+  micros sent_at = 0;
+};
+
+// From a host to a server.
+enum class server_distance { kLocal, kRegion, kFar };
+
+struct relay_server {
+  registered_server info;
+  std::string region;
+  server_distance away = server_distance::kFar;
+  micros cold_until = 0;
+  micros last_cold_send = 0;
+  // Not 0: the entry says leaving, or is missing. The server is then used only
+  // if no other is left, and not after this time.
+  micros last_use = 0;
+  bool lapsed = false;     // the entry is missing
+  bool misplaced = false;  // its address answered as another server
+  absl::InlinedVector<open_attempt, 8> open;  // oldest first
+  micros typical = 0;                         // running mean; 0: never measured
+  micros typical_at = 0;
+  double faults = 0;  // decaying count of failed and refused attempts
+  micros faults_at = 0;
+  int silent = 0;         // attempts in a row that got no reply
+  micros held_until = 0;  // silent or unreachable: not used before
+  int others = 0;         // requests of other hosts there, as last reported
+  micros others_at = 0;
+};
+using server_ref = std::shared_ptr<relay_server>;
+
+struct relay_service {
+  service_terms terms;
+  std::vector<server_ref> servers;
+  extra_window extra;
+};
+
+struct relay_pool {
+  // Constant.
+  std::string data_centre;
+  std::string region;
+  std::map<std::string, std::string> region_of;  // by data centre
+  extra_bounds extra;
+  int extra_floor = 0;  // over all hosts
+  micros leave_time = 3 * kSecond;
+  // Changing.
+  int hosts = 1;  // live ones, this one included
+  std::unordered_map<std::string, relay_service> services;
+  std::unordered_map<std::string, server_ref> by_id;
+  std::set<std::string, std::less<>> out_of_service;       // data centres
+  std::unordered_map<std::string, latency_track> latency;  // by route name
+};
+
+// Entries and configuration.
+void PutServer(relay_pool* p, registered_server entry, micros now);
+void RemoveServer(relay_pool* p, std::string_view id, micros now);
+// Forgets servers whose last use has passed and that have no open attempt.
+void SweepServers(relay_pool* p, micros now);
+void SetTerms(relay_pool* p, const std::vector<service_terms>& terms);
+void SetHosts(relay_pool* p, int hosts);
+
+// Why no server can be picked.
+enum class pick_problem {
+  kNone,
+  kBusy,  // all have as many requests of this host as they may have
+  kNoServer,
+};
+
+struct pick_request {
+  std::string_view service;
+  const std::vector<std::string>* regions = nullptr;  // null or empty: all
+  const std::vector<std::string>* asked = nullptr;    // ids not to pick
+  micros now = 0;
+  uint64_t random = 0;
+};
+
+// The server to send to now, or null. `problem` may be null.
+server_ref PickServer(relay_pool* p, const pick_request& r,
+                      pick_problem* problem);
+
+// Expected time until the server would answer one more request.
+micros ExpectedTime(const relay_server& s, micros now);
+
+// Connections that this host may have to a server of the service.
+int ConnectionsOf(const relay_pool& p, const relay_service& s);
+
+// What happens to attempts.
+void OnSent(relay_server* s, uint64_t attempt, micros now);
+void OnServed(relay_server* s, uint64_t attempt, const reported_load* load,
+              micros now);
+// It answered with a failure of its own, broke off, or sent wrong bytes.
+void OnFailed(relay_server* s, uint64_t attempt, micros now);
+// It refused: not run.
+void OnRefused(relay_server* s, uint64_t attempt, micros now);
+// No connection could be made.
+void OnUnreachable(relay_server* s, uint64_t attempt, micros now);
+// Another server answered at its address.
+void OnMisplaced(relay_server* s, uint64_t attempt, micros now);
+// Given up with no reply. `silent`: it had long been due.
+void OnGivenUp(relay_server* s, uint64_t attempt, bool silent, micros now);
+
+}  // namespace baobabtray
+
+#endif  // TRAY_RELAY_SERVERS_H_
--- /dev/null
+++ b/tray/relayd/directory.cc
@@ -0,0 +1,213 @@
+// Listing, watch and announcement. See directory.h.
+
+#include "tray/relayd/directory.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+
+#include "tray/base/clock.h"
+#include "tray/base/log.h"
+
+namespace baobabtray {
+namespace {
+
+// A watch that hears nothing is asked again after this; a connection that has
+// gone silent is noticed within it.
+constexpr micros kWatchTime = 4 * kSecond;
+// Changes that follow each other within this are read by one call.
+constexpr micros kBatchTime = 100 * kMillisecond;
+constexpr micros kFirstRetry = 100 * kMillisecond;
+constexpr micros kMaxRetry = 800 * kMillisecond;
+constexpr int kMaxDoublings = 3;
+// A host that has died counts as live for this long. Shares of connections and
+// budgets are too small meanwhile, which harms nobody.
+constexpr micros kLeaseTime = 9 * kSecond;
+constexpr micros kRenewPeriod = kLeaseTime / 3;
+
+}  // namespace
+
+directory::directory(asio::io_context& loop, directory_store store,
+                     std::string name, deliver_facts deliver)
+    : loop_(loop),
+      store_(std::move(store)),
+      name_(std::move(name)),
+      deliver_(std::move(deliver)),
+      random_(std::random_device{}()) {}
+
+void directory::Start() {
+  Load();
+  OpenLease();
+}
+
+void directory::Leave() {
+  leaving_ = true;
+  if (lease_ != 0) store_.end_lease(lease_);
+}
+
+void directory::After(micros delay, std::function<void()> then) {
+  auto timer = std::make_shared<asio::steady_timer>(
+      loop_, std::chrono::microseconds(delay));
+  timer->async_wait(
+      [timer, then = std::move(then)](std::error_code) { then(); });
+}
+
+// Doubles with each failure; jitter keeps hosts from calling in step.
+micros directory::Backoff(int failures) {
+  micros delay =
+      std::min(kMaxRetry, kFirstRetry << std::min(failures, kMaxDoublings));
+  return delay / 2 + static_cast<micros>(random_() % delay);
+}
+
+void directory::Contact() {
+  last_contact_ = SteadyNow();
+  if (failures_ == 0) return;
+  Log(log_level::kInfo, "store_regained",
+      {{"failures", std::to_string(failures_)},
+       {"revision", std::to_string(revision_)}});
+  failures_ = 0;
+}
+
+void directory::Retry(const std::string& problem, std::function<void()> again) {
+  if (failures_ == 0) {
+    Log(log_level::kWarning, "store_lost",
+        {{"problem", problem}, {"revision", std::to_string(revision_)}});
+  }
+  After(Backoff(failures_++), std::move(again));
+}
+
+void directory::Load() {
+  listing_.clear();
+  listing_revision_ = 0;
+  LoadPage("");
+}
+
+void directory::LoadPage(const std::string& after) {
+  store_.list(after, [this](stored_items page) {
+    if (page.end != store_end::kOk) {
+      return Retry(page.problem, [this] { Load(); });
+    }
+    Contact();
+    // Changes made between the pages are watched for from the first page on.
+    if (listing_revision_ == 0) listing_revision_ = page.revision;
+    std::string last;
+    for (stored_item& item : page.items) {
+      last = std::max(last, item.key);
+      listing_[item.key] = std::move(item);
+    }
+    if (page.more && !last.empty()) return LoadPage(last);
+    Loaded();
+  });
+}
+
+void directory::Loaded() {
+  std::vector<stored_item> items;
+  for (const auto& [key, revision] : known_) {
+    if (listing_.contains(key)) continue;
+    items.push_back(
+        {.key = key, .revision = listing_revision_, .removed = true});
+  }
+  for (auto& [key, item] : listing_) items.push_back(std::move(item));
+  Log(log_level::kInfo, "store_listed",
+      {{"revision", std::to_string(listing_revision_)},
+       {"items", std::to_string(listing_.size())}});
+  listing_.clear();
+  Take(std::move(items));
+  revision_ = std::max(revision_, listing_revision_);
+  Watch();
+}
+
+void directory::Watch() {
+  store_.watch(revision_, kWatchTime, [this](stored_items changes) {
+    if (changes.end == store_end::kForgotten) {
+      Log(log_level::kInfo, "store_history_lost",
+          {{"revision", std::to_string(revision_)}});
+      return Load();
+    }
+    if (changes.end != store_end::kOk) {
+      return Retry(changes.problem, [this] { Watch(); });
+    }
+    Contact();
+    bool any = !changes.items.empty();
+    Take(std::move(changes.items));
+    revision_ = std::max(revision_, changes.revision);
+    if (any) return After(kBatchTime, [this] { Watch(); });
+    Watch();
+  });
+}
+
+void directory::Take(std::vector<stored_item> items) {
+  std::vector<store_fact> facts;
+  for (const stored_item& item : items) {
+    auto known = known_.find(item.key);
+    if (known != known_.end() && item.revision <= known->second) continue;
+    if (item.removed) {
+      if (known == known_.end()) continue;
+      known_.erase(known);
+    } else {
+      known_[item.key] = item.revision;
+    }
+    store_fact fact = store_.decode(item);
+    if (const auto* none = std::get_if<no_fact>(&fact)) {
+      if (none->wrong) {
+        Log(log_level::kWarning, "store_item_ignored",
+            {{"reason", none->reason.substr(0, 300)},
+             {"revision", std::to_string(item.revision)}});
+      }
+      continue;
+    }
+    if (const auto* host = std::get_if<host_fact>(&fact)) {
+      // Taken away by the store: announced again.
+      if (host->name == name_ && !host->live && !leaving_) OpenLease();
+    }
+    facts.push_back(std::move(fact));
+  }
+  if (!facts.empty()) deliver_(std::move(facts));
+}
+
+void directory::OpenLease() {
+  if (leaving_) return;
+  lease_ = 0;
+  store_.open_lease(kLeaseTime, [this](store_end end, uint64_t lease) {
+    if (end != store_end::kOk) {
+      return After(Backoff(++lease_failures_), [this] { OpenLease(); });
+    }
+    lease_ = lease;
+    Announce();
+  });
+}
+
+void directory::Announce() {
+  uint64_t lease = lease_;
+  store_.announce_host(name_, lease, [this, lease](store_end end) {
+    if (leaving_ || lease != lease_) return;
+    if (end == store_end::kOk) {
+      lease_failures_ = 0;
+      return After(kRenewPeriod, [this, lease] {
+        if (lease == lease_) Renew();
+      });
+    }
+    // The write may have been done; writing it again does no harm.
+    After(Backoff(++lease_failures_), [this, lease, end] {
+      if (lease != lease_) return;
+      if (end == store_end::kMissing) return OpenLease();
+      Announce();
+    });
+  });
+}
+
+void directory::Renew() {
+  uint64_t lease = lease_;
+  store_.renew_lease(lease, [this, lease](store_end end) {
+    if (leaving_ || lease != lease_) return;
+    if (end == store_end::kMissing) return OpenLease();
+    micros next =
+        end == store_end::kOk ? kRenewPeriod : Backoff(++lease_failures_);
+    After(next, [this, lease] {
+      if (lease == lease_) Renew();
+    });
+  });
+}
+
+}  // namespace baobabtray
--- /dev/null
+++ b/tray/relayd/relay_dump.cc
@@ -0,0 +1,63 @@
+// Writes a relaying host's beliefs. See relay_dump.h.
+
+#include "tray/relayd/relay_dump.h"
+
+#include <nlohmann/json.hpp>
+
+namespace baobabtray {
+namespace {
+
+using nlohmann::json;
+
+json DumpServer(const relay_server& s, micros now) {
+  return {{"id", s.info.id},
+          {"address", ToString(s.info.address)},
+          {"data_centre", s.info.data_centre},
+          {"leaving", s.info.leaving},
+          {"lapsed", s.lapsed},
+          {"misplaced", s.misplaced},
+          {"cold_ms", std::max<micros>(0, s.cold_until - now) / kMillisecond},
+          {"held_ms", std::max<micros>(0, s.held_until - now) / kMillisecond},
+          {"open", s.open.size()},
+          {"typical_us", s.typical},
+          {"typical_age_ms", (now - s.typical_at) / kMillisecond},
+          {"faults", s.faults},
+          {"expected_us", ExpectedTime(s, now)}};
+}
+
+}  // namespace
+
+std::string DumpRelay(const relay_state& r, const route_table* table,
+                      int in_hand, bool draining, micros now) {
+  json services = json::object();
+  for (const auto& [name, service] : r.pool.services) {
+    json servers = json::array();
+    for (const server_ref& s : service.servers) {
+      servers.push_back(DumpServer(*s, now));
+    }
+    extra_window extra = service.extra;
+    services[name] = {{"servers", std::move(servers)},
+                      {"connections", ConnectionsOf(r.pool, service)},
+                      {"extra_left", ExtraLeft(&extra, r.pool.extra, now)}};
+  }
+  json routes = json::array();
+  if (table != nullptr) {
+    for (const route& way : table->routes) {
+      routes.push_back({{"name", way.name},
+                        {"host", way.host},
+                        {"prefix", way.prefix},
+                        {"kind", NameOf(kRequestKindNames, way.kind)},
+                        {"shards", way.shards.size()}});
+    }
+  }
+  json all = {{"routes_version", table == nullptr ? 0 : table->version},
+              {"routes", std::move(routes)},
+              {"services", std::move(services)},
+              {"out_of_service", r.pool.out_of_service},
+              {"hosts", r.pool.hosts},
+              {"in_hand", in_hand},
+              {"draining", draining}};
+  return all.dump(1, ' ', false, json::error_handler_t::replace);
+}
+
+}  // namespace baobabtray
--- /dev/null
+++ b/tray/relayd/relay_metrics.h
@@ -0,0 +1,39 @@
+// Metrics of a relaying host, by prometheus-cpp. Safe from any thread.
+
+#ifndef TRAY_RELAYD_RELAY_METRICS_H_
+#define TRAY_RELAYD_RELAY_METRICS_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "tray/relay/ports.h"
+
+namespace baobabtray {
+
+class relay_metrics {
+ public:
+  relay_metrics();
+  ~relay_metrics();
+
+  // `kind` is "single" or "gather".
+  void CountRequest(bool gathers, relay_outcome outcome, micros latency);
+  void CountOwnAnswer(own_answer answer);
+  void CountAttempt(bool extra, reply_kind end);
+  void CountCancelled();
+  void CountStoreCall(std::string_view call, store_end end);
+  void SetRoutes(int64_t version, int routes);
+  void SetServers(int servers, int hosts);
+  void SetInHand(int requests);
+  void SetConnectionsOpened(uint64_t opened);
+
+  std::string Render() const;
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace baobabtray
+
+#endif  // TRAY_RELAYD_RELAY_METRICS_H_
--- /dev/null
+++ b/tray/routes/routes.cc
@@ -0,0 +1,86 @@
+// Checks and matches routes. See routes.h.
+
+#include "tray/routes/routes.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace baobabtray {
+namespace {
+
+// Rounding error of a share such as 0.9 times a number of shards.
+constexpr double kShareSlack = 1e-9;
+
+// What is wrong with one route, or "".
+std::string ProblemOf(const route& r) {
+  if (r.prefix.empty() || r.prefix.front() != '/' || r.prefix.back() != '/') {
+    return "the prefix does not begin and end with a slash";
+  }
+  if (r.time_limit <= 0) return "the time limit is not positive";
+  if (r.max_servers < 1) return "no server may be asked";
+  if (r.targets.empty() == r.shards.empty()) {
+    return "it needs either services or shards";
+  }
+  double weights = 0;
+  for (const weighted_service& t : r.targets) {
+    if (!(t.weight >= 0)) return "a weight is negative";
+    weights += t.weight;
+  }
+  if (!r.targets.empty() && weights <= 0) return "all weights are zero";
+  if (!r.gathers()) return "";
+  if (r.kind != request_kind::kIdempotent) {
+    return "a route with shards must be idempotent";
+  }
+  std::set<std::string> shards(r.shards.begin(), r.shards.end());
+  if (shards.size() != r.shards.size()) return "a shard is named twice";
+  if (r.top_records < 1) return "it asks for no records";
+  if (!(r.min_coverage >= 0 && r.min_coverage <= 1)) {
+    return "the coverage is not between 0 and 1";
+  }
+  return "";
+}
+
+}  // namespace
+
+absl::Status FinishRoutes(route_table* table) {
+  std::set<std::pair<std::string, std::string>> seen;
+  table->by_host.clear();
+  for (size_t i = 0; i < table->routes.size(); ++i) {
+    const route& r = table->routes[i];
+    std::string problem = ProblemOf(r);
+    if (problem.empty() && !seen.emplace(r.host, r.prefix).second) {
+      problem = "another route has the same host and prefix";
+    }
+    if (!problem.empty()) {
+      return absl::InvalidArgumentError(
+          fmt::format("route '{}': {}", r.name, problem));
+    }
+    table->by_host[r.host].push_back(static_cast<int>(i));
+  }
+  for (auto& [host, routes] : table->by_host) {
+    std::sort(routes.begin(), routes.end(), [&](int a, int b) {
+      return table->routes[a].prefix.size() > table->routes[b].prefix.size();
+    });
+  }
+  return absl::OkStatus();
+}
+
+const route* MatchRoute(const route_table& table, std::string_view host,
+                        std::string_view path) {
+  auto found = table.by_host.find(std::string(host));
+  if (found == table.by_host.end()) return nullptr;
+  for (int i : found->second) {
+    if (path.starts_with(table.routes[i].prefix)) return &table.routes[i];
+  }
+  return nullptr;
+}
+
+int LeastParts(const route& way) {
+  double least = way.min_coverage * static_cast<double>(way.shards.size());
+  return std::max(1, static_cast<int>(std::ceil(least - kShareSlack)));
+}
+
+}  // namespace baobabtray
--- a/tray/standin/backend.cc
+++ b/tray/standin/backend.cc
@@ -7,8 +7,8 @@
 #include <algorithm>
 #include <chrono>
 
-#include "tray/hash.h"
-#include "tray/strings.h"
+#include "tray/base/hash.h"
+#include "tray/base/strings.h"
 
 namespace baobabtray::standin {
 namespace {
--- a/tray/standin/backend.h
+++ b/tray/standin/backend.h
@@ -19,9 +19,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "tray/evidence.h"
+#include "tray/fleet/evidence.h"
 #include "tray/standin/wire.h"
-#include "tray/text.h"
+#include "tray/text/text.h"
 
 namespace baobabtray::standin {
 
--- a/tray/standin/backends_main.cc
+++ b/tray/standin/backends_main.cc
@@ -17,9 +17,9 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-#include "tray/run_main.h"
+#include "tray/base/run_main.h"
+#include "tray/base/strings.h"
 #include "tray/standin/backend.h"
-#include "tray/strings.h"
 
 namespace baobabtray::standin {
 namespace {
--- a/tray/standin/store_main.cc
+++ b/tray/standin/store_main.cc
@@ -16,10 +16,10 @@
 #include <nlohmann/json.hpp>
 #include <random>
 
-#include "tray/endpoint.h"
-#include "tray/run_main.h"
+#include "tray/base/endpoint.h"
+#include "tray/base/run_main.h"
+#include "tray/base/strings.h"
 #include "tray/standin/wire.h"
-#include "tray/strings.h"
 
 namespace baobabtray::standin {
 namespace {
--- a/tray/testing/base_test.cc
+++ b/tray/testing/base_test.cc
@@ -4,10 +4,10 @@
 
 #include <string>
 
-#include "tray/doc.h"
-#include "tray/endpoint.h"
-#include "tray/hash.h"
-#include "tray/names.h"
+#include "tray/base/doc.h"
+#include "tray/base/endpoint.h"
+#include "tray/base/hash.h"
+#include "tray/base/names.h"
 
 using namespace baobabtray;  // NOLINT: test file
 
--- a/tray/testing/config_test.cc
+++ b/tray/testing/config_test.cc
@@ -3,7 +3,7 @@
 // A fake store applies writes at once or later, loses replies, goes away, and
 // serves lagging reads; its own record is the judge of every verdict.
 
-#include "tray/config.h"
+#include "tray/config/config.h"
 
 #include <criterion/criterion.h>
 
@@ -13,10 +13,10 @@
 #include <string>
 #include <vector>
 
-#include "tray/claim.h"
-#include "tray/delta.h"
-#include "tray/edit.h"
-#include "tray/strings.h"
+#include "tray/base/strings.h"
+#include "tray/config/claim.h"
+#include "tray/config/delta.h"
+#include "tray/config/edit.h"
 
 using namespace baobabtray;  // NOLINT: test file
 
--- a/tray/testing/daemon_test.cc
+++ b/tray/testing/daemon_test.cc
@@ -10,12 +10,12 @@
 #include <string>
 #include <thread>
 
-#include "tray/engine.h"
-#include "tray/fetch.h"
+#include "tray/base/strings.h"
+#include "tray/daemon/engine.h"
+#include "tray/daemon/traffic.h"
+#include "tray/http/fetch.h"
 #include "tray/standin/backend.h"
 #include "tray/standin/wire.h"
-#include "tray/strings.h"
-#include "tray/traffic.h"
 
 using namespace baobabtray;  // NOLINT: test file
 using nlohmann::json;
--- a/tray/testing/fleet_test.cc
+++ b/tray/testing/fleet_test.cc
@@ -6,11 +6,11 @@
 #include <string>
 #include <vector>
 
-#include "tray/hash.h"
-#include "tray/hedge.h"
-#include "tray/latency.h"
-#include "tray/shares.h"
-#include "tray/window.h"
+#include "tray/base/hash.h"
+#include "tray/fleet/hedge.h"
+#include "tray/fleet/latency.h"
+#include "tray/fleet/shares.h"
+#include "tray/fleet/window.h"
 
 using namespace baobabtray;  // NOLINT: test file
 
--- a/tray/testing/http_test.cc
+++ b/tray/testing/http_test.cc
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "tray/fetch.h"
-#include "tray/serve.h"
+#include "tray/http/fetch.h"
+#include "tray/http/serve.h"
 #include "tray/standin/wire.h"
 
 using namespace baobabtray;  // NOLINT: test file
--- a/tray/testing/members_test.cc
+++ b/tray/testing/members_test.cc
@@ -1,6 +1,6 @@
 // Tests of membership: many hosts exchanging digests under an injected clock.
 
-#include "tray/members.h"
+#include "tray/members/members.h"
 
 #include <criterion/criterion.h>
 
--- a/tray/testing/query_test.cc
+++ b/tray/testing/query_test.cc
@@ -6,8 +6,8 @@
 
 #include <string>
 
-#include "tray/admit.h"
-#include "tray/hash.h"
+#include "tray/base/hash.h"
+#include "tray/query/admit.h"
 #include "tray/testing/world.h"
 
 using namespace baobabtray;  // NOLINT: test file
--- a/tray/testing/text_test.cc
+++ b/tray/testing/text_test.cc
@@ -1,6 +1,6 @@
 // Tests of the operators' text, the settings and views.
 
-#include "tray/text.h"
+#include "tray/text/text.h"
 
 #include <criterion/criterion.h>
 
@@ -8,9 +8,9 @@
 #include <sstream>
 #include <string>
 
-#include "tray/settings.h"
-#include "tray/strings.h"
-#include "tray/view.h"
+#include "tray/base/strings.h"
+#include "tray/text/settings.h"
+#include "tray/text/view.h"
 
 using namespace baobabtray;  // NOLINT: test file
 
--- a/tray/testing/wire_test.cc
+++ b/tray/testing/wire_test.cc
@@ -5,10 +5,10 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "tray/backend_wire.h"
-#include "tray/callers.h"
-#include "tray/peer_wire.h"
-#include "tray/strings.h"
+#include "tray/base/strings.h"
+#include "tray/wire/backend_wire.h"
+#include "tray/wire/callers.h"
+#include "tray/wire/peer_wire.h"
 
 using namespace baobabtray;  // NOLINT: test file
 
--- a/tray/testing/world.cc
+++ b/tray/testing/world.cc
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 
-#include "tray/hash.h"
+#include "tray/base/hash.h"
 
 namespace baobabtray::testing {
 namespace {
--- a/tray/testing/world.h
+++ b/tray/testing/world.h
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-#include "tray/query.h"
+#include "tray/query/query.h"
 
 namespace baobabtray::testing {
 
--- a/tray/settings.cc
+++ b/tray/text/settings.cc
@@ -1,13 +1,13 @@
 // Reads a daemon's settings. See settings.h.
 
-#include "tray/settings.h"
+#include "tray/text/settings.h"
 
 #include <fmt/format.h>
 
 #include <optional>
 
-#include "tray/doc.h"
-#include "tray/strings.h"
+#include "tray/base/doc.h"
+#include "tray/base/strings.h"
 
 namespace baobabtray {
 namespace {
@@ -36,6 +36,30 @@
   return fallback;
 }
 
+relay_settings ReadRelay(const doc_node& node, doc_errors* errors) {
+  doc_map map(node, "'relay'", errors);
+  relay_settings r;
+  r.ready = ReadEndpoint(&map, "ready", errors);
+  for (const doc_node& item : map.List("places")) {
+    doc_map entry(item, "a place", errors);
+    r.places.push_back({.data_centre = entry.String("data_centre"),
+                        .region = entry.String("region")});
+    entry.RefuseUnknownKeys();
+  }
+  constexpr number_range kTime{100, 600'000};
+  auto time = [&](std::string_view key, int fallback) {
+    return static_cast<int>(map.Number(key, kTime, fallback));
+  };
+  r.extra_ratio = map.Fraction("extra_ratio", r.extra_ratio);
+  r.extra_floor = static_cast<int>(
+      map.Number("extra_floor", {0, 1'000'000}, r.extra_floor));
+  r.extra_window_ms = time("extra_window_ms", r.extra_window_ms);
+  r.leave_ms = time("leave_ms", r.leave_ms);
+  r.grace_ms = time("grace_ms", r.grace_ms);
+  map.RefuseUnknownKeys();
+  return r;
+}
+
 bool SamePort(const endpoint& a, const endpoint& b) {
   return a.port != 0 && a.port == b.port && a.host == b.host;
 }
@@ -79,6 +103,15 @@
   s.hedging = ReadWord(&map, "hedging", kHedgeModeNames, s.hedging, &errors);
   s.drain_ms =
       static_cast<int>(map.Number("drain_ms", {0, 600'000}, s.drain_ms));
+  s.log_lines = static_cast<int>(
+      map.Number("log_lines_per_s", {0, 1'000'000}, s.log_lines));
+  s.speaks =
+      ReadWord(&map, "interface", kInterfaceModeNames, s.speaks, &errors);
+  const doc_node* relay = map.Find("relay");
+  if (s.speaks == interface_mode::kPlatform && relay == nullptr) {
+    errors.Add(*root, "'interface: platform' needs a 'relay' map");
+  }
+  if (relay != nullptr) s.relay = ReadRelay(*relay, &errors);
   map.RefuseUnknownKeys();
   CheckPorts(s, *root, &errors);
   if (!errors.empty()) return errors.ToStatus();
--- a/tray/settings.h
+++ b/tray/text/settings.h
@@ -5,17 +5,17 @@
 // Settings say where this process is and whom it talks to. Everything that is
 // the same on all hosts belongs in the operators' text instead.
 
-#ifndef TRAY_SETTINGS_H_
-#define TRAY_SETTINGS_H_
+#ifndef TRAY_TEXT_SETTINGS_H_
+#define TRAY_TEXT_SETTINGS_H_
 
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "tray/endpoint.h"
-#include "tray/log.h"
-#include "tray/names.h"
+#include "tray/base/endpoint.h"
+#include "tray/base/log.h"
+#include "tray/base/names.h"
 
 namespace baobabtray {
 
@@ -35,6 +35,35 @@
     {hedge_mode::kLastFew, "last_few"},
 }};
 
+// What callers and backend servers speak with this process.
+enum class interface_mode { kOwn, kPlatform };
+constexpr name_table<interface_mode, 2> kInterfaceModeNames = {{
+    {interface_mode::kOwn, "own"},
+    {interface_mode::kPlatform, "platform"},
+}};
+
+// A data centre and the region that it belongs to.
+struct region_member {
+  std::string data_centre;
+  std::string region;
+};
+
+// Settings of a host whose routes and backend servers come from the platform's
+// store. The bounds are the operators' promises, the same on all hosts.
+struct relay_settings {
+  endpoint ready;  // listener for the balancer's readiness checks
+  std::vector<region_member> places;
+  // Extra requests allowed to a service within any window, over all hosts:
+  // ratio x the requests for it + floor.
+  double extra_ratio = 0.2;
+  int extra_floor = 50;
+  int extra_window_ms = 10'000;
+  // Nothing reaches a backend server longer than this after it left.
+  int leave_ms = 3000;
+  // From SIGTERM until the process is killed.
+  int grace_ms = 6000;
+};
+
 struct settings {
   std::string name;         // unique among hosts
   std::string data_centre;  // one that the operators' text lists
@@ -51,10 +80,13 @@
   choice_mode choice = choice_mode::kLeastWait;
   hedge_mode hedging = hedge_mode::kLastFew;
   int drain_ms = 2000;  // /ready fails this long before listeners close
+  int log_lines = kDefaultLogLines;  // a second at most; 0: no bound
+  interface_mode speaks = interface_mode::kOwn;
+  relay_settings relay;  // read if `speaks` is kPlatform
 };
 
 absl::StatusOr<settings> ParseSettings(std::string_view yaml);
 
 }  // namespace baobabtray
 
-#endif  // TRAY_SETTINGS_H_
+#endif  // TRAY_TEXT_SETTINGS_H_
--- a/tray/text.cc
+++ b/tray/text/text.cc
@@ -4,16 +4,16 @@
 // second resolves references, so the order of sections does not matter. Both
 // keep going after an error.
 
-#include "tray/text.h"
+#include "tray/text/text.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <set>
 
-#include "tray/doc.h"
-#include "tray/endpoint.h"
-#include "tray/strings.h"
+#include "tray/base/doc.h"
+#include "tray/base/endpoint.h"
+#include "tray/base/strings.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/text.h
+++ b/tray/text/text.h
@@ -26,8 +26,8 @@
 // time linear in the text; the dependency check is linear in services plus
 // edges.
 
-#ifndef TRAY_TEXT_H_
-#define TRAY_TEXT_H_
+#ifndef TRAY_TEXT_TEXT_H_
+#define TRAY_TEXT_TEXT_H_
 
 #include <string>
 #include <string_view>
@@ -35,9 +35,9 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "tray/endpoint.h"
-#include "tray/names.h"
-#include "tray/time.h"
+#include "tray/base/endpoint.h"
+#include "tray/base/names.h"
+#include "tray/base/time.h"
 
 namespace baobabtray {
 
@@ -122,4 +122,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_TEXT_H_
+#endif  // TRAY_TEXT_TEXT_H_
--- a/tray/view.cc
+++ b/tray/text/view.cc
@@ -1,10 +1,10 @@
 // Builds views. See view.h.
 
-#include "tray/view.h"
+#include "tray/text/view.h"
 
 #include <algorithm>
 
-#include "tray/hash.h"
+#include "tray/base/hash.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/view.h
+++ b/tray/text/view.h
@@ -5,16 +5,16 @@
 // with. Shards of all services are numbered densely, so that waiting queues and
 // replica lists are plain vectors. Building is linear in the text.
 
-#ifndef TRAY_VIEW_H_
-#define TRAY_VIEW_H_
+#ifndef TRAY_TEXT_VIEW_H_
+#define TRAY_TEXT_VIEW_H_
 
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "tray/names.h"
-#include "tray/text.h"
+#include "tray/base/names.h"
+#include "tray/text/text.h"
 
 namespace baobabtray {
 
@@ -62,4 +62,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_VIEW_H_
+#endif  // TRAY_TEXT_VIEW_H_
--- a/tray/tool_main.cc
+++ b/tray/tool/tool_main.cc
@@ -17,9 +17,9 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-#include "tray/run_main.h"
-#include "tray/strings.h"
-#include "tray/text.h"
+#include "tray/base/run_main.h"
+#include "tray/base/strings.h"
+#include "tray/text/text.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/backend_wire.cc
+++ b/tray/wire/backend_wire.cc
@@ -1,13 +1,13 @@
 // Headers and health reports of backend servers. See backend_wire.h.
 
-#include "tray/backend_wire.h"
+#include "tray/wire/backend_wire.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "tray/strings.h"
+#include "tray/base/strings.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/backend_wire.h
+++ b/tray/wire/backend_wire.h
@@ -2,8 +2,8 @@
 // hand requests over: HTTP headers to typed values and back. docs/BACKEND.md is
 // the page for those who write backend servers.
 
-#ifndef TRAY_BACKEND_WIRE_H_
-#define TRAY_BACKEND_WIRE_H_
+#ifndef TRAY_WIRE_BACKEND_WIRE_H_
+#define TRAY_WIRE_BACKEND_WIRE_H_
 
 #include <cstdint>
 #include <optional>
@@ -12,11 +12,11 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "tray/evidence.h"
-#include "tray/fetch.h"
-#include "tray/query.h"
-#include "tray/serve.h"
-#include "tray/text.h"
+#include "tray/fleet/evidence.h"
+#include "tray/http/fetch.h"
+#include "tray/http/serve.h"
+#include "tray/query/query.h"
+#include "tray/text/text.h"
 
 namespace baobabtray {
 
@@ -59,4 +59,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_BACKEND_WIRE_H_
+#endif  // TRAY_WIRE_BACKEND_WIRE_H_
--- a/tray/callers.cc
+++ b/tray/wire/callers.cc
@@ -1,6 +1,6 @@
 // The callers' interface. See callers.h.
 
-#include "tray/callers.h"
+#include "tray/wire/callers.h"
 
 #include <fmt/format.h>
 
--- a/tray/callers.h
+++ b/tray/wire/callers.h
@@ -1,8 +1,8 @@
 // The callers' interface: JSON to a checked request, and a query to its answer.
 // docs/API.md describes both for callers.
 
-#ifndef TRAY_CALLERS_H_
-#define TRAY_CALLERS_H_
+#ifndef TRAY_WIRE_CALLERS_H_
+#define TRAY_WIRE_CALLERS_H_
 
 #include <cstdint>
 #include <memory>
@@ -11,8 +11,8 @@
 #include <string_view>
 
 #include "absl/status/statusor.h"
-#include "tray/query.h"
-#include "tray/serve.h"
+#include "tray/http/serve.h"
+#include "tray/query/query.h"
 
 namespace baobabtray {
 
@@ -53,4 +53,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_CALLERS_H_
+#endif  // TRAY_WIRE_CALLERS_H_
--- a/tray/metrics.cc
+++ b/tray/wire/metrics.cc
@@ -1,6 +1,6 @@
 // Metrics by prometheus-cpp. See metrics.h.
 
-#include "tray/metrics.h"
+#include "tray/wire/metrics.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
--- a/tray/metrics.h
+++ b/tray/wire/metrics.h
@@ -3,16 +3,16 @@
 // Counters of hot paths are looked up once and kept, since a look-up by labels
 // costs more than the decision that it counts. Safe from any thread.
 
-#ifndef TRAY_METRICS_H_
-#define TRAY_METRICS_H_
+#ifndef TRAY_WIRE_METRICS_H_
+#define TRAY_WIRE_METRICS_H_
 
 #include <memory>
 #include <string>
 #include <string_view>
 
-#include "tray/admit.h"
-#include "tray/query.h"
-#include "tray/time.h"
+#include "tray/base/time.h"
+#include "tray/query/admit.h"
+#include "tray/query/query.h"
 
 namespace baobabtray {
 
@@ -43,4 +43,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_METRICS_H_
+#endif  // TRAY_WIRE_METRICS_H_
--- a/tray/peer_wire.cc
+++ b/tray/wire/peer_wire.cc
@@ -1,6 +1,6 @@
 // JSON and signatures of peer messages. See peer_wire.h.
 
-#include "tray/peer_wire.h"
+#include "tray/wire/peer_wire.h"
 
 #include <fmt/format.h>
 #include <openssl/hmac.h>
@@ -8,9 +8,9 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
-#include "tray/backend_wire.h"
-#include "tray/hash.h"
-#include "tray/strings.h"
+#include "tray/base/hash.h"
+#include "tray/base/strings.h"
+#include "tray/wire/backend_wire.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/peer_wire.h
+++ b/tray/wire/peer_wire.h
@@ -4,8 +4,8 @@
 // message that is malformed, wrongly signed or too old is refused and logged;
 // nothing of it is believed. Bodies are bounded by the server's limit.
 
-#ifndef TRAY_PEER_WIRE_H_
-#define TRAY_PEER_WIRE_H_
+#ifndef TRAY_WIRE_PEER_WIRE_H_
+#define TRAY_WIRE_PEER_WIRE_H_
 
 #include <cstdint>
 #include <optional>
@@ -14,10 +14,10 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "tray/config.h"
-#include "tray/delta.h"
-#include "tray/evidence.h"
-#include "tray/members.h"
+#include "tray/config/config.h"
+#include "tray/config/delta.h"
+#include "tray/fleet/evidence.h"
+#include "tray/members/members.h"
 
 namespace baobabtray {
 
@@ -72,4 +72,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_PEER_WIRE_H_
+#endif  // TRAY_WIRE_PEER_WIRE_H_
--- a/tray/responses.cc
+++ b/tray/wire/responses.cc
@@ -1,11 +1,11 @@
 // Responses. See responses.h.
 
-#include "tray/responses.h"
+#include "tray/wire/responses.h"
 
 #include <string>
 
-#include "tray/backend_wire.h"
-#include "tray/callers.h"
+#include "tray/wire/backend_wire.h"
+#include "tray/wire/callers.h"
 
 namespace baobabtray {
 
--- a/tray/responses.h
+++ b/tray/wire/responses.h
@@ -1,13 +1,13 @@
 // HTTP responses for the ends of queries, claims and handed-over requests.
 
-#ifndef TRAY_RESPONSES_H_
-#define TRAY_RESPONSES_H_
+#ifndef TRAY_WIRE_RESPONSES_H_
+#define TRAY_WIRE_RESPONSES_H_
 
 #include <string>
 
-#include "tray/claim.h"
-#include "tray/query.h"
-#include "tray/serve.h"
+#include "tray/config/claim.h"
+#include "tray/http/serve.h"
+#include "tray/query/query.h"
 
 namespace baobabtray {
 
@@ -25,4 +25,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_RESPONSES_H_
+#endif  // TRAY_WIRE_RESPONSES_H_
--- a/tray/store_client.cc
+++ b/tray/wire/store_client.cc
@@ -1,12 +1,12 @@
 // HTTP calls to the store. See store_client.h.
 
-#include "tray/store_client.h"
+#include "tray/wire/store_client.h"
 
 #include <fmt/format.h>
 
 #include <nlohmann/json.hpp>
 
-#include "tray/strings.h"
+#include "tray/base/strings.h"
 
 namespace baobabtray {
 namespace {
--- a/tray/store_client.h
+++ b/tray/wire/store_client.h
@@ -4,17 +4,17 @@
 // leases: nothing in the tier is held by time, so none can lapse while its
 // holder is paused. Belongs to one loop's thread.
 
-#ifndef TRAY_STORE_CLIENT_H_
-#define TRAY_STORE_CLIENT_H_
+#ifndef TRAY_WIRE_STORE_CLIENT_H_
+#define TRAY_WIRE_STORE_CLIENT_H_
 
 #include <functional>
 #include <string>
 #include <vector>
 
-#include "tray/edit.h"
-#include "tray/endpoint.h"
-#include "tray/fetch.h"
-#include "tray/metrics.h"
+#include "tray/base/endpoint.h"
+#include "tray/config/edit.h"
+#include "tray/http/fetch.h"
+#include "tray/wire/metrics.h"
 
 namespace baobabtray {
 
@@ -54,4 +54,4 @@
 
 }  // namespace baobabtray
 
-#endif  // TRAY_STORE_CLIENT_H_
+#endif  // TRAY_WIRE_STORE_CLIENT_H_
