Divide half of a server's connections, by the fleet's recorded size

Seen in the hosts' logs as attempts that end "broken" within 3 ms. Change: a host divides by the larger of the live hosts and a number on record in the store, and only half of the connections. A host that knows nothing yet asks the store at least each 0.3 s.

--- a/tray/relay/ports.h
+++ b/tray/relay/ports.h
@@ -134,6 +134,10 @@
   std::string name;
   bool live = true;
 };
+// How many hosts there have lately been at once.
+struct fleet_size_fact {
+  int hosts = 0;
+};
 // An item that says nothing, with the reason; a warning if `wrong`.
 struct no_fact {
   std::string reason;
@@ -141,7 +145,7 @@
 };
 using store_fact =
     std::variant<no_fact, routes_fact, server_fact, server_gone_fact,
-                 out_of_service_fact, host_fact>;
+                 out_of_service_fact, host_fact, fleet_size_fact>;
 
 struct directory_store {
   // A page of all items whose keys come after `after`.
@@ -163,6 +167,9 @@
   std::function<void(const std::string& name, uint64_t lease,
                      std::function<void(store_end)> done)>
       announce_host;
+  // Records the size of the fleet, for hosts that start later.
+  std::function<void(int hosts, std::function<void(store_end)> done)>
+      record_fleet_size;
   // What an item of a listing or a watch says.
   store_fact (*decode)(const stored_item& item) = nullptr;
 };
--- a/tray/relay/servers.cc
+++ b/tray/relay/servers.cc
@@ -33,6 +33,10 @@
 constexpr micros kFaultHalfLife = 2 * kSecond;
 // Reported load of others counts in full at first and halves this often.
 constexpr micros kLoadHalfLife = 50 * kMillisecond;
+// Part of a server's connections that live hosts divide. The rest is for those
+// of hosts that lost power, which the server counts until it notices, and for
+// hosts that have started since.
+constexpr double kDividedPart = 0.5;
 // A server that can't be reached is left alone this long, doubled each time.
 constexpr micros kFirstHold = 200 * kMillisecond;
 constexpr micros kMaxHold = 2 * kSecond;
@@ -169,8 +173,8 @@
   for (const service_terms& t : terms) p->services[t.name].terms = t;
 }
 
-void SetHosts(relay_pool* p, int hosts) {
-  p->hosts = std::max(1, hosts);
+void SetHosts(relay_pool* p, int live, int recorded) {
+  p->hosts = std::max({1, live, recorded});
   p->extra.floor = static_cast<double>(p->extra_floor) / p->hosts;
 }
 
@@ -196,8 +200,8 @@
 }
 
 int ConnectionsOf(const relay_pool& p, const relay_service& s) {
-  if (s.terms.max_connections <= 0) return 1;
-  return std::max(1, s.terms.max_connections / p.hosts);
+  double divided = s.terms.max_connections * kDividedPart;
+  return std::max(1, static_cast<int>(divided / p.hosts));
 }
 
 server_ref PickServer(relay_pool* p, const pick_request& r,
--- a/tray/relay/servers.h
+++ b/tray/relay/servers.h
@@ -105,7 +105,7 @@
   int extra_floor = 0;  // over all hosts
   micros leave_time = 3 * kSecond;
   // Changing.
-  int hosts = 1;  // live ones, this one included
+  int hosts = 1;  // that shares are divided by
   std::unordered_map<std::string, relay_service> services;
   std::unordered_map<std::string, server_ref> by_id;
   std::set<std::string, std::less<>> out_of_service;       // data centres
@@ -118,7 +118,9 @@
 // Forgets servers whose last use has passed and that have no open attempt.
 void SweepServers(relay_pool* p, micros now);
 void SetTerms(relay_pool* p, const std::vector<service_terms>& terms);
-void SetHosts(relay_pool* p, int hosts);
+// Shares are divided by the larger of the hosts that are known to live and the
+// number on record: after a common failure hosts start before they see others.
+void SetHosts(relay_pool* p, int live, int recorded);
 
 // Why no server can be picked.
 enum class pick_problem {
--- a/tray/relayd/directory.cc
+++ b/tray/relayd/directory.cc
@@ -20,12 +20,20 @@
 constexpr micros kBatchTime = 100 * kMillisecond;
 constexpr micros kFirstRetry = 100 * kMillisecond;
 constexpr micros kMaxRetry = 800 * kMillisecond;
+// While nothing is known yet no request can be served: asked more often.
+constexpr micros kMaxFirstRetry = 200 * kMillisecond;
 constexpr int kMaxDoublings = 3;
 // A host that has died counts as live for this long. Shares of connections and
 // budgets are too small meanwhile, which harms nobody.
 constexpr micros kLeaseTime = 9 * kSecond;
 constexpr micros kRenewPeriod = kLeaseTime / 3;
 
+// The record of the fleet's size follows a raise after this, so that hosts that
+// start together cost one write, and a drop only after a common failure would
+// have passed.
+constexpr micros kRaiseTime = 2 * kSecond;
+constexpr micros kLowerTime = 120 * kSecond;
+
 }  // namespace
 
 directory::directory(asio::io_context& loop, directory_store store,
@@ -55,8 +63,9 @@
 
 // Doubles with each failure; jitter keeps hosts from calling in step.
 micros directory::Backoff(int failures) {
+  micros most = revision_ == 0 ? kMaxFirstRetry : kMaxRetry;
   micros delay =
-      std::min(kMaxRetry, kFirstRetry << std::min(failures, kMaxDoublings));
+      std::min(most, kFirstRetry << std::min(failures, kMaxDoublings));
   return delay / 2 + static_cast<micros>(random_() % delay);
 }
 
@@ -160,12 +169,43 @@
     if (const auto* host = std::get_if<host_fact>(&fact)) {
       // Taken away by the store: announced again.
       if (host->name == name_ && !host->live && !leaving_) OpenLease();
+      if (host->live) {
+        hosts_.insert(host->name);
+      } else {
+        hosts_.erase(host->name);
+      }
+    }
+    if (const auto* size = std::get_if<fleet_size_fact>(&fact)) {
+      recorded_hosts_ = size->hosts;
     }
     facts.push_back(std::move(fact));
   }
+  ReviewFleet();
   if (!facts.empty()) deliver_(std::move(facts));
 }
 
+void directory::ReviewFleet() {
+  int live = static_cast<int>(hosts_.size());
+  if (reviewing_ || live == recorded_hosts_ || leaving_) return;
+  reviewing_ = true;
+  micros wait = live > recorded_hosts_ ? kRaiseTime : kLowerTime;
+  After(wait, [this, live] {
+    reviewing_ = false;
+    int now = static_cast<int>(hosts_.size());
+    bool mine = !hosts_.empty() && *hosts_.begin() == name_ && !leaving_;
+    bool lowers = now < recorded_hosts_;
+    if (now == recorded_hosts_) return;
+    // A drop counts only if the number has not changed since it was seen.
+    if (!mine || (lowers && now != live)) return ReviewFleet();
+    store_.record_fleet_size(now, [this, now](store_end end) {
+      Log(log_level::kInfo, "fleet_size_recorded",
+          {{"hosts", std::to_string(now)},
+           {"end", std::string(NameOf(kStoreEndNames, end))}});
+      if (end != store_end::kOk) ReviewFleet();
+    });
+  });
+}
+
 void directory::OpenLease() {
   if (leaving_) return;
   lease_ = 0;
--- a/tray/relayd/directory.h
+++ b/tray/relayd/directory.h
@@ -6,6 +6,9 @@
 // longer there counts as removed. An item older than the one known for its key
 // is ignored, so pages that are no snapshot do no harm.
 //
+// The number of live hosts is kept on record without a lease, by the host whose
+// name sorts first: raised soon, lowered only when it has long been smaller.
+//
 // Cost: a watch is answered once per kWatchTime, or per kBatchTime while there
 // are changes; a renewal each third of kLeaseTime. Memory: the keys.
 
@@ -16,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -51,6 +55,7 @@
   void Contact();
   void OpenLease();
   void Announce();
+  void ReviewFleet();
   void Renew();
   void After(micros delay, std::function<void()> then);
   micros Backoff(int failures);
@@ -68,6 +73,9 @@
   micros last_contact_ = 0;
   uint64_t lease_ = 0;
   int lease_failures_ = 0;
+  std::set<std::string> hosts_;  // live ones
+  int recorded_hosts_ = 0;
+  bool reviewing_ = false;  // a review of the record is due
   bool leaving_ = false;
 };
 
--- a/tray/relayd/relay_worker.cc
+++ b/tray/relayd/relay_worker.cc
@@ -82,7 +82,7 @@
                .window = own.relay.extra_window_ms * kMillisecond};
     p.extra_floor = own.relay.extra_floor;
     p.leave_time = own.relay.leave_ms * kMillisecond;
-    SetHosts(&p, 1);
+    SetHosts(&p, 1, 0);
   }
 
   absl::Status Listen() {
@@ -175,8 +175,17 @@
     } else {
       hosts_.erase(f.name);
     }
+    CountHosts();
+  }
+
+  void Learn(const fleet_size_fact& f, micros) {
+    recorded_hosts_ = f.hosts;
+    CountHosts();
+  }
+
+  void CountHosts() {
     size_t others = hosts_.size() - hosts_.count(own_.name);
-    SetHosts(&state_.pool, static_cast<int>(others) + 1);
+    SetHosts(&state_.pool, static_cast<int>(others) + 1, recorded_hosts_);
   }
 
   bool IsReady() const {
@@ -208,7 +217,7 @@
     }
     if (table_ == nullptr) {
       LogOwn(*request, own_answer::kNotRun, "no routes known yet");
-      return AnswerOwn(respond, own_answer::kNotRun, kComeBackSoon);
+      return AnswerOwn(respond, own_answer::kNotRun, kComeBackLater);
     }
     const route* way = MatchRoute(*table_, request->host, request->path);
     if (way == nullptr) {
@@ -516,6 +525,7 @@
   relay_state state_;
   std::shared_ptr<const route_table> table_;
   std::set<std::string> hosts_;  // live ones
+  int recorded_hosts_ = 0;
   std::atomic<bool> draining_{false};
   bool was_ready_ = false;
   uint64_t last_id_ = 0;
