--- a/tray/http/fetch.cc
+++ b/tray/http/fetch.cc
@@ -35,6 +35,8 @@
 constexpr long kMaxIdleSeconds = 30;
 // Unacknowledged data older than this closes the connection.
 constexpr int kTcpUserTimeoutMs = 2000;
+// A silent connection is found within this and kTcpUserTimeoutMs.
+constexpr long kKeepAliveSeconds = 1;
 constexpr int kEventsPerRound = 64;
 
 bool HasPrefix(std::string_view line, std::string_view prefix) {
@@ -204,6 +206,11 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, t);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, t);
+    if (r.keep_alive) {
+      curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+      curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, kKeepAliveSeconds);
+      curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, kKeepAliveSeconds);
+    }
     if (r.fresh) {
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
--- a/tray/http/fetch.h
+++ b/tray/http/fetch.h
@@ -56,6 +56,7 @@
   bool send_once = false;  // never resent, also on a reused connection
   std::string attempt_id;  // not empty: sent, and the reply must echo it
   std::string id_header = std::string(kAttemptIdHeader);  // that carries it
+  bool keep_alive = false;  // probes find a connection that has gone silent
   bool accept_unframed = false;  // a body may end with its connection
   bool all_headers = false;      // keep all headers of the reply, not only "X-"
 };
--- a/tray/relay/servers.cc
+++ b/tray/relay/servers.cc
@@ -36,7 +36,7 @@
 // Part of a server's connections that live hosts divide. The rest is for those
 // of hosts that lost power, which the server counts until it notices, and for
 // hosts that have started since.
-constexpr double kDividedPart = 0.5;
+constexpr double kDividedPart = 0.75;
 // A server that can't be reached is left alone this long, doubled each time.
 constexpr micros kFirstHold = 200 * kMillisecond;
 constexpr micros kMaxHold = 2 * kSecond;
--- a/tray/relayd/directory.cc
+++ b/tray/relayd/directory.cc
@@ -13,11 +13,12 @@
 namespace baobabtray {
 namespace {
 
-// A watch that hears nothing is asked again after this; a connection that has
-// gone silent is noticed within it.
-constexpr micros kWatchTime = 4 * kSecond;
-// Changes that follow each other within this are read by one call.
-constexpr micros kBatchTime = 100 * kMillisecond;
+// A watch that hears nothing is asked again after this. Keep-alive probes notice
+// earlier that its connection has gone silent.
+constexpr micros kWatchTime = 12 * kSecond;
+// Changes that follow each other within this are read by one call: a tenth of
+// the shortest bound on a change.
+constexpr micros kBatchTime = 250 * kMillisecond;
 constexpr micros kFirstRetry = 100 * kMillisecond;
 constexpr micros kMaxRetry = 800 * kMillisecond;
 // While nothing is known yet no request can be served: asked more often.
