--- a/tray/daemon/daemon_main.cc
+++ b/tray/daemon/daemon_main.cc
@@ -3,6 +3,7 @@
 //   baobabtrayd --settings FILE [--check]
 
 #include <fmt/format.h>
+#include <malloc.h>
 #include <signal.h>
 #include <tclap/CmdLine.h>
 
@@ -121,6 +122,9 @@
   SetLogLevel(own->level);
   SetLogBudget(own->log_lines);
   signal(SIGPIPE, SIG_IGN);
+  // libcurl allocates and frees a large buffer for each transfer, upon which
+  // glibc sweeps its fast bins. Without them the thread cache still serves.
+  mallopt(M_MXFAST, 0);
   absl::Status end = own->speaks == interface_mode::kPlatform
                          ? ServePlatform(*own, file.getValue())
                          : Serve(*own);
--- a/tray/http/fetch.cc
+++ b/tray/http/fetch.cc
@@ -25,6 +25,7 @@
 #include <set>
 #include <unordered_map>
 
+#include "absl/strings/str_replace.h"
 #include "tray/base/alarm.h"
 #include "tray/base/clock.h"
 
@@ -69,7 +70,7 @@
       curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size()));
   std::string result = escaped == nullptr ? "" : escaped;
   curl_free(escaped);
-  return result;
+  return absl::StrReplaceAll(result, {{"%2F", "/"}});
 }
 
 class fetcher::impl {
--- a/tray/http/fetch.h
+++ b/tray/http/fetch.h
@@ -88,7 +88,7 @@
 // Value of header `name` (any case) in a result, or "".
 std::string_view HeaderOf(const fetch_result& result, std::string_view name);
 
-// `text` as a value in the query part of a path.
+// `text` as a value in the query part of a path. Slashes stay as they are.
 std::string EscapeForQuery(std::string_view text);
 
 using fetch_callback = std::function<void(fetch_result)>;
--- a/tray/relayd/directory.cc
+++ b/tray/relayd/directory.cc
@@ -13,8 +13,8 @@
 namespace baobabtray {
 namespace {
 
-// A watch that hears nothing is asked again after this. Keep-alive probes notice
-// earlier that its connection has gone silent.
+// A watch that hears nothing is asked again after this. Keep-alive probes
+// notice earlier that its connection has gone silent.
 constexpr micros kWatchTime = 12 * kSecond;
 // Changes that follow each other within this are read by one call: a tenth of
 // the shortest bound on a change.
@@ -94,7 +94,7 @@
 }
 
 void directory::LoadPage(const std::string& after) {
-  store_.list(after, [this](stored_items page) {
+  store_.list(after, [this, after](stored_items page) {
     if (page.end != store_end::kOk) {
       return Retry(page.problem, [this] { Load(); });
     }
@@ -106,7 +106,10 @@
       last = std::max(last, item.key);
       listing_[item.key] = std::move(item);
     }
-    if (page.more && !last.empty()) return LoadPage(last);
+    if (page.more && last > after) return LoadPage(last);
+    if (page.more) {
+      return Retry("a page repeats keys", [this] { Load(); });
+    }
     Loaded();
   });
 }
--- /dev/null
+++ b/tray/standin/platform_store.cc
@@ -0,0 +1,223 @@
+// The platform's store, stood in for. See platform_store.h.
+
+#include "tray/standin/platform_store.h"
+
+#include <algorithm>
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/escaping.h"
+#include "tray/base/strings.h"
+
+namespace baobabtray::standin {
+namespace {
+
+using nlohmann::json;
+using connection_ptr = std::shared_ptr<wire_connection>;
+
+const wire_headers kJson = {{"Content-Type", "application/json"}};
+
+json Row(const std::string& key, const std::string& value, uint64_t revision,
+         uint64_t created, uint64_t lease) {
+  return {{"key", key},
+          {"value", absl::Base64Escape(value)},
+          {"revision", revision},
+          {"created", created},
+          {"lease", lease}};
+}
+
+}  // namespace
+
+platform_store::platform_store(asio::io_context& loop, const std::string& host,
+                               uint16_t port)
+    : loop_(loop),
+      wire_(loop, host, port,
+            [this](connection_ptr c, const wire_request& r) { Handle(c, r); }) {
+}
+
+uint64_t platform_store::Put(const std::string& key, const std::string& value,
+                             uint64_t lease) {
+  item& i = items_[key];
+  if (i.created == 0) i.created = revision_ + 1;
+  i.value = value;
+  i.revision = ++revision_;
+  i.lease = lease;
+  history_.push_back({.key = key, .revision = revision_, .now = i});
+  Wake();
+  return revision_;
+}
+
+void platform_store::Remove(const std::string& key) {
+  if (items_.erase(key) == 0) return;
+  history_.push_back({.key = key, .revision = ++revision_, .removed = true});
+  Wake();
+}
+
+void platform_store::ForgetHistory() {
+  history_.clear();
+  forgotten_ = revision_;
+  for (const watcher& w : watchers_) {
+    w.timer->cancel();
+    w.connection->Reset();
+  }
+  watchers_.clear();
+}
+
+void platform_store::EndLeases() {
+  std::vector<std::string> gone;
+  for (const auto& [key, i] : items_) {
+    if (i.lease != 0) gone.push_back(key);
+  }
+  for (auto& [id, lease] : leases_) lease.timer->cancel();
+  leases_.clear();
+  for (const std::string& key : gone) Remove(key);
+}
+
+void platform_store::Handle(const connection_ptr& c, const wire_request& r) {
+  switch (failing) {
+    case fault::kNone:
+      break;
+    case fault::kBusy:
+      return c->Reply(503, kJson, "{}");
+    case fault::kReset:
+      return c->Reset();
+    case fault::kSilent:
+      return c->Silence();
+  }
+  ++calls_[r.path.substr(0, r.path.find('/', 3))];
+  constexpr std::string_view kKeep = "/-/kv-keep/", kEnd = "/-/kv-lease-end/";
+  if (r.path == "/-/kv-range") return Range(c, r);
+  if (r.path == "/-/kv-watch") return Watch(c, r);
+  if (r.path == "/-/kv-txn") return Transact(c, r);
+  if (r.path == "/-/kv-lease") return OpenLease(c, r);
+  if (r.path.starts_with(kKeep)) {
+    auto id = ParseNumber<uint64_t>(r.path.substr(kKeep.size()));
+    auto found = id ? leases_.find(*id) : leases_.end();
+    if (found == leases_.end()) return c->Reply(404, kJson, "{}");
+    ArmLease(*id);
+    return c->Reply(200, kJson, json{{"ttl_ms", found->second.ttl_ms}}.dump());
+  }
+  if (r.path.starts_with(kEnd)) {
+    auto id = ParseNumber<uint64_t>(r.path.substr(kEnd.size()));
+    if (id) leases_.erase(*id);
+    for (auto it = items_.begin(); it != items_.end();) {
+      std::string key = it->first;
+      bool ended = id && it->second.lease == *id;
+      ++it;
+      if (ended) Remove(key);
+    }
+    return c->Reply(200, kJson, "{}");
+  }
+  c->Reply(404, kJson, "{}");
+}
+
+void platform_store::Range(const connection_ptr& c, const wire_request& r) {
+  json rows = json::array();
+  bool more = false;
+  for (auto it = items_.upper_bound(r.Field("after")); it != items_.end();
+       ++it) {
+    if (rows.size() >= page) {
+      more = true;
+      break;
+    }
+    const item& i = it->second;
+    rows.push_back(Row(it->first, i.value, i.revision, i.created, i.lease));
+  }
+  json body = {{"items", rows}, {"has_more", more}, {"current_rev", revision_}};
+  c->Reply(200, kJson, body.dump());
+}
+
+void platform_store::Watch(const connection_ptr& c, const wire_request& r) {
+  uint64_t after = ParseNumber<uint64_t>(r.Field("after")).value_or(0);
+  if (after < forgotten_) return c->Reply(410, kJson, "{}");
+  watcher w{.connection = c,
+            .after = after,
+            .timer = std::make_shared<asio::steady_timer>(loop_)};
+  if (after < revision_) return Answer(w);
+  int wait = ParseNumber<int>(r.Field("wait_ms")).value_or(0);
+  w.timer->expires_after(std::chrono::milliseconds(wait));
+  w.timer->async_wait([this, w](std::error_code error) {
+    if (error) return;
+    watchers_.remove_if(
+        [&](const watcher& other) { return other.timer == w.timer; });
+    Answer(w);
+  });
+  watchers_.push_back(w);
+}
+
+void platform_store::Answer(const watcher& w) {
+  json events = json::array();
+  for (const change& e : history_) {
+    if (e.revision <= w.after) continue;
+    events.push_back(
+        e.removed
+            ? json{{"key", e.key}, {"revision", e.revision}, {"removed", true}}
+            : Row(e.key, e.now.value, e.revision, e.now.created, e.now.lease));
+  }
+  json body = {{"events", events}, {"current_rev", revision_}};
+  if (w.connection->open()) w.connection->Reply(200, kJson, body.dump());
+}
+
+void platform_store::Wake() {
+  std::list<watcher> waiting = std::move(watchers_);
+  watchers_.clear();
+  for (const watcher& w : waiting) {
+    w.timer->cancel();
+    Answer(w);
+  }
+}
+
+void platform_store::Transact(const connection_ptr& c, const wire_request& r) {
+  json body = json::parse(r.body, nullptr, false);
+  if (!body.is_object()) return c->Reply(400, kJson, "{}");
+  for (const json& row : body.value("precondition", json::array())) {
+    auto found = items_.find(row.at("key").get<std::string>());
+    uint64_t now = found == items_.end() ? 0 : found->second.revision;
+    if (now != row.at("revision").get<uint64_t>()) {
+      return c->Reply(412, kJson, R"({"items":[]})");
+    }
+  }
+  for (const json& row : body.value("writes", json::array())) {
+    uint64_t lease = row.value("lease", uint64_t{0});
+    if (lease != 0 && !leases_.contains(lease)) {
+      return c->Reply(404, kJson, "{}");
+    }
+  }
+  for (const json& row : body.value("writes", json::array())) {
+    std::string value;
+    absl::Base64Unescape(row.at("value").get<std::string>(), &value);
+    Put(row.at("key"), value, row.value("lease", uint64_t{0}));
+  }
+  for (const json& key : body.value("deletes", json::array())) Remove(key);
+  if (lose_answers > 0) {
+    --lose_answers;
+    return c->Silence();
+  }
+  c->Reply(200, kJson, json{{"revision", revision_}}.dump());
+}
+
+void platform_store::OpenLease(const connection_ptr& c, const wire_request& r) {
+  json body = json::parse(r.body, nullptr, false);
+  uint64_t id = ++last_lease_;
+  leases_[id].ttl_ms = body.value("ttl_ms", 1000);
+  leases_[id].timer = std::make_shared<asio::steady_timer>(loop_);
+  ArmLease(id);
+  c->Reply(200, kJson,
+           json{{"lease", id}, {"ttl_ms", leases_[id].ttl_ms}}.dump());
+}
+
+void platform_store::ArmLease(uint64_t id) {
+  lease_state& lease = leases_[id];
+  lease.timer->expires_after(std::chrono::milliseconds(lease.ttl_ms));
+  lease.timer->async_wait([this, id](std::error_code error) {
+    if (error) return;
+    leases_.erase(id);
+    std::vector<std::string> gone;
+    for (const auto& [key, i] : items_) {
+      if (i.lease == id) gone.push_back(key);
+    }
+    for (const std::string& key : gone) Remove(key);
+  });
+}
+
+}  // namespace baobabtray::standin
--- a/tray/standin/wire.cc
+++ b/tray/standin/wire.cc
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <cctype>
+#include <charconv>
 
 namespace baobabtray::standin {
 
@@ -13,6 +14,27 @@
   return found == headers.end() ? "" : found->second;
 }
 
+namespace {
+
+// Decodes %XX.
+std::string Unescaped(std::string_view text) {
+  std::string plain;
+  for (size_t i = 0; i < text.size(); ++i) {
+    unsigned char byte = 0;
+    const char* digits = text.data() + i + 1;
+    if (text[i] == '%' && i + 2 < text.size() &&
+        std::from_chars(digits, digits + 2, byte, 16).ptr == digits + 2) {
+      plain += static_cast<char>(byte);
+      i += 2;
+    } else {
+      plain += text[i];
+    }
+  }
+  return plain;
+}
+
+}  // namespace
+
 std::string wire_request::Field(std::string_view name) const {
   std::string_view rest = query;
   while (!rest.empty()) {
@@ -20,7 +42,7 @@
     rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
     size_t equals = pair.find('=');
     if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
-      return std::string(pair.substr(equals + 1));
+      return Unescaped(pair.substr(equals + 1));
     }
   }
   return "";
--- /dev/null
+++ b/tray/testing/platform_test.cc
@@ -0,0 +1,360 @@
+// Tests of the adapter: what the platform says, decoded; and its calls against
+// a stand-in of the store.
+
+#include <criterion/criterion.h>
+
+#include <asio.hpp>
+#include <chrono>
+#include <string>
+
+#include "platform/codec.h"
+#include "platform/config.h"
+#include "platform/store.h"
+#include "tray/base/strings.h"
+#include "tray/standin/platform_store.h"
+
+using namespace baobabtray;            // NOLINT: test file
+using namespace baobabtray::platform;  // NOLINT: test file
+using standin::platform_store;
+
+namespace {
+
+constexpr char kConfig[] = R"({
+  "version": 7,
+  "routes": [
+    {"name": "g", "host": "h.example", "prefix": "/g/", "kind": "idempotent",
+     "timeout_ms": 800, "target_latency_ms": 120, "priority": 1,
+     "gather": ["a", "b"], "max_attempts": 2, "top_k": 50,
+     "min_part_share": 0.89, "allowed_regions": []},
+    {"name": "s", "host": "h.example", "prefix": "/s/",
+     "kind": "non_idempotent", "timeout_ms": 2000.5, "target_latency_ms": 300,
+     "priority": 2, "service": "c", "max_attempts": 3,
+     "allowed_regions": ["r"]},
+    {"name": "w", "host": "h.example", "prefix": "/w/", "kind": "idempotent",
+     "timeout_ms": 100, "target_latency_ms": 30, "max_attempts": 1,
+     "targets": [{"service": "c", "weight": 3}, {"service": "d", "weight": 1}]}],
+  "services": [
+    {"name": "a", "health_path": "/health", "max_connections": 25,
+     "protocol": "h1", "tls": false, "warmup_s": 3.0, "cold_per_s": 4.5}],
+  "limits": {"max_header_bytes": 1000, "max_body_bytes": 2000,
+             "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+  "field_of_a_later_page": 1})";
+
+constexpr char kServer[] =
+    R"({"service":"a","address":"10.0.0.9:80","zone":"z","version":"v1",)"
+    R"("slots":2,"state":"ready","warmup_left_ms":1500,"sequence":4,)"
+    R"("born":1700000000000})";
+
+std::string With(std::string text, const std::string& from,
+                 const std::string& to) {
+  size_t at = text.find(from);
+  cr_assert_neq(at, std::string::npos, "%s", from.c_str());
+  return text.replace(at, from.size(), to);
+}
+
+http_request Request() {
+  return {.method = "GET",
+          .target = "/g/../x?q=1",
+          .path = "/g/../x",
+          .query = "q=1",
+          .headers = {{"Host", "H.Example:80"},
+                      {"Request-Id", "r1"},
+                      {"Deadline-Remaining", "750.5"},
+                      {"Connection", "keep-alive, X-Hop"},
+                      {"X-Hop", "1"},
+                      {"X-Kept", "yes"},
+                      {"Target-Instance", "forged"}}};
+}
+
+bool HasLine(const std::vector<std::string>& lines, const std::string& line) {
+  return std::find(lines.begin(), lines.end(), line) != lines.end();
+}
+
+relay_send SendTo(const std::string& id) {
+  auto server = std::make_shared<relay_server>();
+  server->info.id = id;
+  server->info.address = {"10.0.0.9", 80};
+  return {.attempt = 1, .server = server, .timeout = 500 * kMillisecond};
+}
+
+fetch_result Result(int status,
+                    std::vector<std::pair<std::string, std::string>> headers) {
+  return {.status = status, .headers = std::move(headers), .body = "body"};
+}
+
+reply_kind KindOf(fetch_result result, bool part = false) {
+  return ServerCodec().decode(std::move(result), part).kind;
+}
+
+// A store on its own port, with a client on the same loop.
+struct store_world {
+  asio::io_context loop{1};
+  platform_store store;
+  fetcher http{loop};
+  directory_store client;
+
+  explicit store_world(uint16_t port)
+      : store(loop, "127.0.0.1", port),
+        client(OpenStore(&http, {"127.0.0.1", port},
+                         [](std::string_view, store_end) {})) {
+    store.Listen();
+  }
+
+  void Until(const bool& done) {
+    for (int i = 0; i < 5000 && !done; ++i) {
+      loop.run_for(std::chrono::milliseconds(1));
+    }
+    cr_assert(done, "gave up waiting");
+  }
+
+  stored_items List(const std::string& after = "") {
+    stored_items result;
+    bool done = false;
+    client.list(after, [&](stored_items r) {
+      result = std::move(r);
+      done = true;
+    });
+    Until(done);
+    return result;
+  }
+
+  stored_items Watch(uint64_t revision, micros wait) {
+    stored_items result;
+    bool done = false;
+    client.watch(revision, wait, [&](stored_items r) {
+      result = std::move(r);
+      done = true;
+    });
+    Until(done);
+    return result;
+  }
+};
+
+}  // namespace
+
+// ---- Configuration and entries ---------------------------------------------
+
+Test(config, is_decoded_into_routes) {
+  auto table = DecodeConfig(kConfig);
+  cr_assert(table.ok(), "%s", MessageOf(table.status()).c_str());
+  const route_table& t = **table;
+  cr_assert_eq(t.version, 7);
+  cr_assert_eq(t.routes[0].shards.size(), 2u);
+  cr_assert_eq(t.routes[0].top_records, 50);
+  cr_assert_eq(t.routes[0].aim, 120 * kMillisecond);
+  cr_assert_eq(t.routes[1].kind, request_kind::kNonIdempotent);
+  cr_assert_eq(t.routes[1].time_limit, 2000500);
+  cr_assert_eq(t.routes[1].max_servers, 3);
+  cr_assert_eq(t.routes[1].regions[0], "r");
+  cr_assert_eq(t.routes[2].targets[0].weight, 3);
+  cr_assert_eq(t.services[0].max_connections, 25);
+  cr_assert_eq(t.services[0].cold_rate, 4.5);
+  cr_assert_eq(t.bounds.max_head, 1000u);
+  cr_assert_eq(t.bounds.max_body, 2000u);
+}
+
+Test(config, with_anything_wrong_is_refused_whole) {
+  const std::string good = kConfig;
+  for (const std::string& bad :
+       {std::string("no json"), std::string("[]"), std::string(""),
+        With(good, "\"version\": 7", "\"version\": \"x\""),
+        With(good, "\"idempotent\"", "\"sometimes\""),
+        With(good, "\"/g/\"", "\"g\""),
+        With(good, "\"max_attempts\": 2", "\"max_attempts\": []"),
+        With(good, "[\"a\", \"b\"]", "[\"a\", \"a\"]"),
+        With(good, "\"/s/\"", "\"/g/\""), With(good, "\"top_k\": 50,", "")}) {
+    cr_assert_not(DecodeConfig(bad).ok(), "%s", bad.c_str());
+  }
+}
+
+Test(servers, entry_is_decoded) {
+  auto s = DecodeServer("i-1", kServer);
+  cr_assert(s.ok(), "%s", MessageOf(s.status()).c_str());
+  cr_assert_eq(s->service, "a");
+  cr_assert_eq(s->address.port, 80);
+  cr_assert_eq(s->cold_for, 1500 * kMillisecond);
+  cr_assert_eq(s->started_ms, 1700000000000);
+  cr_assert_not(s->leaving);
+}
+
+// Entries of another writer name no server, and harm no other entry.
+Test(servers, foreign_entries_name_no_server) {
+  const std::string good = kServer;
+  for (const std::string& bad :
+       {std::string("\xff\xfe"), std::string("{}"), std::string("null"),
+        With(good, "\"ready\"", "\"resting\""),
+        With(good, "\"slots\":2", "\"slots\":\"2\""),
+        With(good, "\"slots\":2", "\"slots\":0"),
+        With(good, "10.0.0.9:80", "nowhere"),
+        With(good, "\"service\":\"a\"", "\"service\":7"),
+        With(good, "\"born\":1700000000000", "\"born\":\"x\"")}) {
+    store_fact fact = DecodeItem({.key = "servers/i-1", .value = bad});
+    cr_assert(std::holds_alternative<no_fact>(fact), "%s", bad.c_str());
+    cr_assert(std::get<no_fact>(fact).wrong);
+  }
+  cr_assert(std::holds_alternative<no_fact>(DecodeItem({.key = "their/key"})));
+}
+
+Test(servers, keys_say_what_an_item_is) {
+  cr_assert(std::holds_alternative<server_gone_fact>(
+      DecodeItem({.key = "servers/i-1", .removed = true})));
+  auto out = DecodeItem({.key = "op/evacuate/z", .value = "{}"});
+  cr_assert_eq(std::get<out_of_service_fact>(out).data_centre, "z");
+  cr_assert(std::get<out_of_service_fact>(out).out);
+  out = DecodeItem({.key = "op/evacuate/z", .removed = true});
+  cr_assert_not(std::get<out_of_service_fact>(out).out);
+  cr_assert_eq(std::get<fleet_size_fact>(
+                   DecodeItem({.key = "baobabtray/fleet-size", .value = "8"}))
+                   .hosts,
+               8);
+}
+
+// ---- Callers and servers ---------------------------------------------------
+
+Test(callers, request_passes_unchanged_but_for_its_connection) {
+  auto c = CallerCodec().decode(Request());
+  cr_assert(c.ok());
+  cr_assert_eq(c->host, "h.example");
+  cr_assert_eq(c->id, "r1");
+  cr_assert_eq(c->patience, 750500);
+  fetch_request r = ServerCodec().encode(*c, SendTo("i-9"));
+  cr_assert_eq(r.path, "/g/../x?q=1");
+  cr_assert_eq(r.attempt_id, "r1");
+  cr_assert(HasLine(r.headers, "X-Kept: yes"));
+  cr_assert(HasLine(r.headers, "Host: H.Example:80"));
+  cr_assert(HasLine(r.headers, "Target-Instance: i-9"));
+  cr_assert(HasLine(r.headers, "Deadline-Remaining: 500"));
+  cr_assert_not(HasLine(r.headers, "Target-Instance: forged"));
+  cr_assert_not(HasLine(r.headers, "X-Hop: 1"));
+  cr_assert(r.send_once);
+}
+
+Test(callers, wrong_requests_are_refused) {
+  auto decode = [](std::string_view name, const std::string& value) {
+    http_request r = Request();
+    for (auto& [known, old] : r.headers) {
+      if (known == name) old = value;
+    }
+    return CallerCodec().decode(r).ok();
+  };
+  cr_assert_not(decode("Host", ""));
+  cr_assert_not(decode("Request-Id", ""));
+  cr_assert_not(decode("Deadline-Remaining", "soon"));
+  cr_assert(decode("Deadline-Remaining", "-5"));
+  cr_assert(decode("Deadline-Remaining", "99999999999999"));
+  http_request absolute = Request();
+  absolute.target = "http://h.example/g/";
+  cr_assert_not(CallerCodec().decode(absolute).ok());
+}
+
+Test(callers, only_a_refusal_promises_that_nothing_ran) {
+  caller_codec codec = CallerCodec();
+  http_response refused =
+      codec.encode_own(own_answer::kNotRun, 250 * kMillisecond);
+  cr_assert_eq(refused.status, 503);
+  cr_assert_eq(refused.headers[0].first, "Retry-After");
+  cr_assert_eq(refused.headers[0].second, "0.250");
+  cr_assert_eq(codec.encode_own(own_answer::kBroken, 0).status, 502);
+  cr_assert_eq(codec.encode_own(own_answer::kTimedOut, 0).status, 504);
+  cr_assert_eq(codec.encode_own(own_answer::kNoRoute, 0).status, 404);
+}
+
+Test(callers, merged_answer_names_its_parts) {
+  http_response r = CallerCodec().encode_merged(
+      {.signatures = {"a", "b"}, .missing = 1, .body = "x"});
+  cr_assert_eq(r.headers[0].second, "a, b");
+  cr_assert_eq(r.headers[1].second, "1");
+}
+
+Test(replies, prove_what_they_say_and_no_more) {
+  using pairs = std::vector<std::pair<std::string, std::string>>;
+  pairs seal = {{"Response-Seal", "s"}};
+  cr_assert_eq(KindOf(Result(200, seal)), reply_kind::kServed);
+  cr_assert_eq(KindOf(Result(200, {})), reply_kind::kBroken);
+  cr_assert_eq(KindOf(Result(404, seal)), reply_kind::kServed);
+  cr_assert_eq(KindOf(Result(404, seal), true), reply_kind::kFailed);
+  cr_assert_eq(KindOf(Result(500, seal)), reply_kind::kFailed);
+  cr_assert_eq(KindOf(Result(421, {})), reply_kind::kMisplaced);
+  cr_assert_eq(KindOf(Result(503, {{"Not-Executed", "1"}})),
+               reply_kind::kRefused);
+  // Without the proof a status that promises "not run" can't be passed on.
+  cr_assert_eq(KindOf(Result(503, seal)), reply_kind::kBroken);
+  cr_assert_eq(KindOf(Result(429, seal)), reply_kind::kBroken);
+  cr_assert_eq(KindOf({.fault = fetch_fault::kNotSent}), reply_kind::kNotSent);
+  cr_assert_eq(KindOf({.fault = fetch_fault::kCrossed}), reply_kind::kBroken);
+  cr_assert_eq(KindOf({.fault = fetch_fault::kBroken}), reply_kind::kBroken);
+}
+
+Test(replies, load_is_read_or_left_out) {
+  auto load = [](const std::string& word) {
+    return ServerCodec()
+        .decode(Result(200, {{"Response-Seal", "s"}, {"Server-Load", word}}),
+                false)
+        .load;
+  };
+  cr_assert_eq(load("3, 4,8")->running, 3);
+  cr_assert_eq(load("3, 4,8")->waiting, 4);
+  cr_assert_not(load("").has_value());
+  cr_assert_not(load("3").has_value());
+  cr_assert_not(load("a,b,c").has_value());
+}
+
+// ---- Store -----------------------------------------------------------------
+
+Test(store, lists_in_pages_and_watches_changes) {
+  store_world w(17301);
+  w.store.page = 2;
+  for (const char* key : {"a", "b", "d"}) w.store.Put(key, "value");
+  stored_items first = w.List();
+  cr_assert_eq(first.items.size(), 2u);
+  cr_assert(first.more);
+  stored_items rest = w.List(first.items[1].key);
+  cr_assert_eq(rest.items.size(), 1u);
+  cr_assert_eq(rest.items[0].value, "value");
+  cr_assert_not(rest.more);
+  w.store.Remove("d");
+  stored_items changes = w.Watch(first.revision, kSecond);
+  cr_assert_eq(changes.items.size(), 1u);
+  cr_assert(changes.items[0].removed);
+  cr_assert_eq(changes.revision, w.store.revision());
+  cr_assert_eq(w.Watch(changes.revision, kMillisecond).items.size(), 0u);
+}
+
+Test(store, lost_history_and_failures_are_told_apart) {
+  store_world w(17302);
+  w.store.Put("a", "1");
+  w.store.Put("b", "1");
+  w.store.ForgetHistory();
+  cr_assert_eq(w.Watch(1, kMillisecond).end, store_end::kForgotten);
+  w.store.failing = platform_store::fault::kBusy;
+  cr_assert_eq(w.List().end, store_end::kFailed);
+  w.store.failing = platform_store::fault::kReset;
+  cr_assert_eq(w.List().end, store_end::kFailed);
+}
+
+Test(store, lease_carries_the_announcement) {
+  store_world w(17303);
+  uint64_t lease = 0;
+  bool done = false;
+  w.client.open_lease(kSecond, [&](store_end end, uint64_t id) {
+    cr_assert_eq(end, store_end::kOk);
+    lease = id;
+    done = true;
+  });
+  w.Until(done);
+  done = false;
+  w.client.announce_host("h1", lease, [&](store_end end) {
+    cr_assert_eq(end, store_end::kOk);
+    done = true;
+  });
+  w.Until(done);
+  cr_assert(w.store.Has("baobabtray/hosts/h1"));
+  w.store.EndLeases();
+  cr_assert_not(w.store.Has("baobabtray/hosts/h1"));
+  done = false;
+  w.client.renew_lease(lease, [&](store_end end) {
+    cr_assert_eq(end, store_end::kMissing);
+    done = true;
+  });
+  w.Until(done);
+}
