Short watches of the store, so that a swallowed one is found in time

The store is silent for 5 s; the watch sent meanwhile is accepted and never answered, so hosts learned of the change 10 s after the store was back, while it counts as stable after 5 s. Seen in the logs: store_lost at 6.9 s, store_regained at 20.1 s. Ruled out: keep-alive probes alone; the connection's other end does answer them. Change: a watch waits 3.5 s, and half a second after a failed call. Test first: change_after_a_silent_outage_is_learned_within_five_seconds.

--- a/tray/relayd/directory.cc
+++ b/tray/relayd/directory.cc
@@ -13,9 +13,12 @@
 namespace baobabtray {
 namespace {
 
-// A watch that hears nothing is asked again after this. Keep-alive probes
-// notice earlier that its connection has gone silent.
-constexpr micros kWatchTime = 12 * kSecond;
+// A watch that hears nothing is asked again after this. A store that was silent
+// for a moment may never answer the watch that waited there, and counts as
+// stable five seconds later: all that has changed must be known by then.
+constexpr micros kWatchTime = 3500 * kMillisecond;
+// The same after a failed call, until one succeeds.
+constexpr micros kTroubledWatchTime = 500 * kMillisecond;
 // Changes that follow each other within this are read by one call: a tenth of
 // the shortest bound on a change.
 constexpr micros kBatchTime = 250 * kMillisecond;
@@ -132,7 +135,8 @@
 }
 
 void directory::Watch() {
-  store_.watch(revision_, kWatchTime, [this](stored_items changes) {
+  micros wait = failures_ == 0 ? kWatchTime : kTroubledWatchTime;
+  store_.watch(revision_, wait, [this](stored_items changes) {
     if (changes.end == store_end::kForgotten) {
       Log(log_level::kInfo, "store_history_lost",
           {{"revision", std::to_string(revision_)}});
--- a/tray/standin/platform_store.cc
+++ b/tray/standin/platform_store.cc
@@ -63,6 +63,14 @@
   watchers_.clear();
 }
 
+void platform_store::SilenceWatches() {
+  for (const watcher& w : watchers_) {
+    w.timer->cancel();
+    w.connection->Silence();
+  }
+  watchers_.clear();
+}
+
 void platform_store::EndLeases() {
   std::vector<std::string> gone;
   for (const auto& [key, i] : items_) {
--- a/tray/standin/platform_store.h
+++ b/tray/standin/platform_store.h
@@ -36,6 +36,8 @@
   size_t page = 500;     // items in one listing
   // Watches from before now are refused, and waiting ones are cut.
   void ForgetHistory();
+  // Waiting watches are never answered; their connections stay open.
+  void SilenceWatches();
   // All leases end.
   void EndLeases();
 
--- a/tray/testing/relayd_test.cc
+++ b/tray/testing/relayd_test.cc
@@ -236,6 +236,31 @@
   cr_assert(w.store.Has("baobabtray/hosts/me"));
 }
 
+// A store that falls silent swallows the watch that waits there, and the one
+// that is sent after it. Changes made on its return must be in force before it
+// counts as stable, five seconds later.
+Test(directory, change_after_a_silent_outage_is_learned_within_five_seconds) {
+  directory_world w(17406);
+  w.follower.Start();
+  w.Until([&] { return w.Count<host_fact>() == 1; });
+  w.loop.run_for(std::chrono::milliseconds(500));
+  w.store.SilenceWatches();
+  micros back_at = SteadyNow();
+  w.store.Put("op/config", kConfig);
+  w.Until([&] { return w.Count<routes_fact>() == 1; });
+  cr_assert_lt(SteadyNow() - back_at, 5 * kSecond);
+  // The next call is swallowed too.
+  w.store.failing = platform_store::fault::kSilent;
+  w.store.SilenceWatches();
+  w.Until([&] { return !w.follower.in_contact(); });
+  w.loop.run_for(std::chrono::milliseconds(500));
+  w.store.failing = platform_store::fault::kNone;
+  back_at = SteadyNow();
+  w.store.Put("servers/i-1", EntryOf("a"));
+  w.Until([&] { return w.Count<server_fact>() == 1; });
+  cr_assert_lt(SteadyNow() - back_at, 3 * kSecond);
+}
+
 // ---- Whole requests --------------------------------------------------------
 
 Test(worker, merges_the_parts_of_all_shards) {
