Probe unreachable servers by connections rather than by requests

Every host found out about each dark server again and again with a request, which spent one of the two servers that a shard's part may have. Change: a server to which no connection can be made is not asked until a bare connection to it succeeds; tries after 0.2 s, doubled up to 2 s. Test first: unreachable_server_is_probed_and_not_asked.

--- a/tray/http/fetch.cc
+++ b/tray/http/fetch.cc
@@ -207,6 +207,7 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, t);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, t);
+    if (r.connect_only) curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, 1L);
     if (r.keep_alive) {
       curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
       curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, kKeepAliveSeconds);
@@ -448,6 +449,18 @@
   return impl_->Start(std::move(request), std::move(done));
 }
 
+void fetcher::Probe(const endpoint& to, micros timeout,
+                    std::function<void(bool connected)> done) {
+  impl_->Start({.to = to,
+                .timeout = timeout,
+                .connect_timeout = timeout,
+                .connect_only = true,
+                .fresh = true},
+               [done = std::move(done)](const fetch_result& result) {
+                 done(result.fault == fetch_fault::kNone);
+               });
+}
+
 void fetcher::Cancel(uint64_t id) { impl_->Cancel(id); }
 
 size_t fetcher::in_flight() const { return impl_->in_flight(); }
--- a/tray/http/fetch.h
+++ b/tray/http/fetch.h
@@ -52,9 +52,10 @@
   std::string content_type = "application/json";  // of a body; empty: none
   micros timeout = 1 * kSecond;
   micros connect_timeout = 1 * kSecond;
-  bool fresh = false;      // on a connection of its own, never resent
-  bool send_once = false;  // never resent, also on a reused connection
-  std::string attempt_id;  // not empty: sent, and the reply must echo it
+  bool connect_only = false;  // sends nothing
+  bool fresh = false;         // on a connection of its own, never resent
+  bool send_once = false;     // never resent, also on a reused connection
+  std::string attempt_id;     // not empty: sent, and the reply must echo it
   std::string id_header = std::string(kAttemptIdHeader);  // that carries it
   bool keep_alive = false;  // probes find a connection that has gone silent
   bool accept_unframed = false;  // a body may end with its connection
@@ -104,6 +105,11 @@
   // the next request on them ends. Default kDefaultConnections.
   void SetConnections(const endpoint& to, int connections);
 
+  // Tries to make a connection, and closes it again. `done` is called once,
+  // never from within Probe.
+  void Probe(const endpoint& to, micros timeout,
+             std::function<void(bool connected)> done);
+
   // Starts a request. The callback is called once, never from within Start.
   uint64_t Start(fetch_request request, fetch_callback done);
 
--- a/tray/relay/servers.cc
+++ b/tray/relay/servers.cc
@@ -72,6 +72,7 @@
 void Alive(relay_server* s) {
   s->silent = 0;
   s->held_until = 0;
+  s->unreachable = false;
 }
 
 server_distance DistanceOf(const relay_pool& p, const relay_server& s) {
@@ -114,7 +115,8 @@
   if (s.last_use != 0) {
     return r.now < s.last_use ? use_tier::kLastUse : use_tier::kNever;
   }
-  return r.now < s.held_until ? use_tier::kHeld : use_tier::kNormal;
+  bool held = s.unreachable || r.now < s.held_until;
+  return held ? use_tier::kHeld : use_tier::kNormal;
 }
 
 }  // namespace
@@ -281,6 +283,37 @@
   if (Close(s, attempt) == 0) return;
   AddFault(s, now);
   Hold(s, now);
+  s->unreachable = true;
+}
+
+std::vector<server_ref> TakeProbes(relay_pool* p, micros now) {
+  std::vector<server_ref> due;
+  for (const auto& [id, s] : p->by_id) {
+    bool wanted = s->last_use == 0 && !s->misplaced &&
+                  !p->out_of_service.contains(s->info.data_centre);
+    if (!s->unreachable || s->probing || !wanted || now < s->held_until) {
+      continue;
+    }
+    s->probing = true;
+    due.push_back(s);
+  }
+  return due;
+}
+
+void OnProbed(relay_server* s, bool connected, micros now) {
+  s->probing = false;
+  if (!s->unreachable) return;
+  if (connected) {
+    Alive(s);
+  } else {
+    Hold(s, now);
+  }
+}
+
+bool HasUnreachable(const relay_pool& p) {
+  return std::any_of(p.by_id.begin(), p.by_id.end(), [](const auto& entry) {
+    return entry.second->unreachable && entry.second->last_use == 0;
+  });
 }
 
 void OnMisplaced(relay_server* s, uint64_t attempt, micros now) {
--- a/tray/relay/servers.h
+++ b/tray/relay/servers.h
@@ -83,9 +83,11 @@
   micros typical_at = 0;
   double faults = 0;  // decaying count of failed and refused attempts
   micros faults_at = 0;
-  int silent = 0;         // attempts in a row that got no reply
-  micros held_until = 0;  // silent or unreachable: not used before
-  int others = 0;         // requests of other hosts there, as last reported
+  int silent = 0;            // attempts and probes in a row that got no reply
+  micros held_until = 0;     // silent or unreachable: not used before
+  bool unreachable = false;  // not used until a probe makes a connection
+  bool probing = false;      // a probe is under way
+  int others = 0;            // requests of other hosts there, as last reported
   micros others_at = 0;
 };
 using server_ref = std::shared_ptr<relay_server>;
@@ -155,8 +157,14 @@
 void OnFailed(relay_server* s, uint64_t attempt, micros now);
 // It refused: not run.
 void OnRefused(relay_server* s, uint64_t attempt, micros now);
-// No connection could be made.
+// No connection could be made. The server is left alone until one can: a
+// request that had to find out would be late, and a connection costs little.
 void OnUnreachable(relay_server* s, uint64_t attempt, micros now);
+// Servers to which a connection should be tried now; marks them as probing.
+std::vector<server_ref> TakeProbes(relay_pool* p, micros now);
+void OnProbed(relay_server* s, bool connected, micros now);
+// True if a server is unreachable, so that probes will be due.
+bool HasUnreachable(const relay_pool& p);
 // Another server answered at its address.
 void OnMisplaced(relay_server* s, uint64_t attempt, micros now);
 // Given up with no reply. `silent`: it had long been due.
--- a/tray/relayd/relay_worker.cc
+++ b/tray/relayd/relay_worker.cc
@@ -29,6 +29,9 @@
 // A connection that is not made by then is given up as not sent: three times
 // the longest way between regions, and a server's handshake.
 constexpr micros kConnectTime = 250 * kMillisecond;
+// Servers that can't be reached are looked at this often; each one's own pauses
+// are longer.
+constexpr auto kProbeTick = std::chrono::milliseconds(100);
 // When a refused caller should come back. Another host or server will mostly
 // do, so soon; spread, so that callers do not return together.
 constexpr micros kComeBackSoon = 60 * kMillisecond;
@@ -70,7 +73,8 @@
         loop_(1),
         work_(asio::make_work_guard(loop_)),
         http_(loop_),
-        alarm_(loop_, [this] { RunTimers(); }) {
+        alarm_(loop_, [this] { RunTimers(); }),
+        probe_timer_(loop_) {
     state_.random.seed(std::random_device{}());
     relay_pool& p = state_.pool;
     p.data_centre = own.data_centre;
@@ -317,6 +321,31 @@
     Step(id, [&](relay_query* q, relay_actions* actions) {
       OnRelayReply(&state_, q, attempt, reply, SteadyNow(), actions);
     });
+    if (reply.kind == reply_kind::kNotSent) ArmProbes();
+  }
+
+  // Looks for servers to probe while there are any that can't be reached.
+  void ArmProbes() {
+    if (probes_armed_ || !HasUnreachable(state_.pool)) return;
+    probes_armed_ = true;
+    probe_timer_.expires_after(kProbeTick);
+    probe_timer_.async_wait([this](std::error_code error) {
+      probes_armed_ = false;
+      if (error) return;
+      for (const server_ref& s : TakeProbes(&state_.pool, SteadyNow())) {
+        Probe(s);
+      }
+      ArmProbes();
+    });
+  }
+
+  void Probe(const server_ref& s) {
+    http_.Probe(s->info.address, kConnectTime, [this, s](bool connected) {
+      OnProbed(s.get(), connected, SteadyNow());
+      if (!connected) return;
+      Log(log_level::kInfo, "server_reachable",
+          {{"server", s->info.id}, {"service", s->info.service}});
+    });
   }
 
   void Cancel(uint64_t attempt) {
@@ -520,6 +549,8 @@
   asio::executor_work_guard<asio::io_context::executor_type> work_;
   fetcher http_;
   alarm_clock alarm_;
+  asio::steady_timer probe_timer_;
+  bool probes_armed_ = false;
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> ready_;
   relay_state state_;
--- a/tray/testing/relay_test.cc
+++ b/tray/testing/relay_test.cc
@@ -205,6 +205,35 @@
   cr_assert_neq(PickServer(&h.r.pool, r, nullptr)->info.id, "s-a");
 }
 
+// Two servers of a shard are dark. Without probes a request would find out
+// about each again and again, and be late.
+Test(servers, unreachable_server_is_probed_and_not_asked) {
+  host h;
+  h.AddService("s");
+  server_ref dark = h.Server("s-a");
+  OnSent(dark.get(), 1, h.now);
+  OnUnreachable(dark.get(), 1, h.now);
+  int probes = 0;
+  for (micros end = h.now + 5 * kSecond; h.now < end; h.now += 50'000) {
+    pick_request r{.service = "s", .now = h.now};
+    cr_assert_neq(PickServer(&h.r.pool, r, nullptr)->info.id, "s-a");
+    for (const server_ref& s : TakeProbes(&h.r.pool, h.now)) {
+      cr_assert_eq(s, dark);
+      ++probes;
+      OnProbed(s.get(), false, h.now);
+    }
+  }
+  cr_assert(probes >= 3 && probes <= 8, "%d probes", probes);
+  h.now += 3 * kSecond;
+  cr_assert_eq(TakeProbes(&h.r.pool, h.now).size(), 1u);
+  cr_assert_eq(TakeProbes(&h.r.pool, h.now).size(), 0u);
+  OnProbed(dark.get(), true, h.now);
+  cr_assert_not(HasUnreachable(h.r.pool));
+  h.now += 10 * kSecond;
+  pick_request r{.service = "s", .now = h.now};
+  cr_assert_eq(PickServer(&h.r.pool, r, nullptr)->info.id, "s-a");
+}
+
 Test(servers, leaving_and_lapsed_servers_are_a_last_resort_for_a_while) {
   host h;
   h.AddService("s");
