Refused parts wait for room in the bound on extra requests

The bound on extra requests was used up by parts that callers could have done without, and a refused part that found no room was given up at once: 236 answers of 502, some after 2 ms. Change: such a part looks again until the route's aim (a single request until a quarter of it), and 0.35 of the bound is kept for parts without which the request would fail.

--- a/tray/relay/extra.cc
+++ b/tray/relay/extra.cc
@@ -28,6 +28,10 @@
   return std::accumulate(counts.begin(), counts.end(), 0);
 }
 
+double Allowed(const extra_window& w, const extra_bounds& b) {
+  return kSafePart * (b.ratio * Sum(w.firsts) + b.floor);
+}
+
 }  // namespace
 
 void CountFirst(extra_window* w, const extra_bounds& b, micros now) {
@@ -37,12 +41,12 @@
 
 double ExtraLeft(extra_window* w, const extra_bounds& b, micros now) {
   Advance(w, b, now);
-  double allowed = kSafePart * (b.ratio * Sum(w->firsts) + b.floor);
-  return allowed - Sum(w->extras);
+  return Allowed(*w, b) - Sum(w->extras);
 }
 
-bool SpendExtra(extra_window* w, const extra_bounds& b, micros now) {
-  if (ExtraLeft(w, b, now) < 1) return false;
+bool SpendExtra(extra_window* w, const extra_bounds& b, micros now,
+                double kept) {
+  if (ExtraLeft(w, b, now) < 1 + kept * Allowed(*w, b)) return false;
   ++w->extras[static_cast<size_t>(w->slice % extra_window::kSlices)];
   return true;
 }
--- a/tray/relay/extra.h
+++ b/tray/relay/extra.h
@@ -33,8 +33,10 @@
 // A first request was sent.
 void CountFirst(extra_window* w, const extra_bounds& b, micros now);
 
-// Counts one extra request if the bound allows it.
-bool SpendExtra(extra_window* w, const extra_bounds& b, micros now);
+// Counts one extra request if the bound allows it and `kept`, a part of the
+// bound, would still be left.
+bool SpendExtra(extra_window* w, const extra_bounds& b, micros now,
+                double kept = 0);
 
 // Extra requests that the bound allows at `now`.
 double ExtraLeft(extra_window* w, const extra_bounds& b, micros now);
--- a/tray/relay/relay.cc
+++ b/tray/relay/relay.cc
@@ -15,8 +15,13 @@
 constexpr double kLatestAsk = 0.4;
 // The same part while too few replies are known.
 constexpr double kUnknownAsk = 0.2;
-// Extra requests left over by hedges for retries after failures.
-constexpr double kRetryReserve = 2;
+// Part of the bound on extra requests that is kept for parts without which a
+// request would fail: leaving out one part of ten costs its caller a fifth of
+// the answer, leaving out too many costs all of it.
+constexpr double kKeptForNeeded = 0.35;
+// A refused request to one server waits for room in the bound for this part of
+// its aim, after which its caller does better to come back.
+constexpr micros kWaitPart = 4;
 // A part that found no room, or no budget, looks again after this.
 constexpr micros kLookAgain = 5 * kMillisecond;
 // A refused request is sent again to the same servers after this.
@@ -218,6 +223,21 @@
   part.ask_at = now + kLookAgain;
 }
 
+// True if the request would fail without this part.
+bool IsNeeded(const relay_query& q, const relay_part& part) {
+  auto others =
+      std::count_if(q.parts.begin(), q.parts.end(), [&](const relay_part& p) {
+        return &p != &part && (p.answer != nullptr || HasOpen(p));
+      });
+  return others < LeastParts(q);
+}
+
+// Until when a part without an open attempt waits for the bound on extras.
+micros LastLook(const relay_query& q) {
+  return q.way->gathers() ? q.aim_at
+                          : q.start + (q.aim_at - q.start) / kWaitPart;
+}
+
 // Sends one more attempt if that is allowed, or says when to look again. With
 // no open attempt, a part that can't be asked again is given up.
 void AskAgain(relay_state* r, relay_query* q, int index, micros now,
@@ -246,14 +266,12 @@
     }
     return;
   }
-  extra_window* extra = &r->pool.services[part.service].extra;
-  if (Arrived(part)) {
-    bool left = !open || ExtraLeft(extra, r->pool.extra, now) > kRetryReserve;
-    if (!left || !SpendExtra(extra, r->pool.extra, now)) {
-      if (!open) return GiveUp(&part);
-      part.ask_at = now + kLookAgain;
-      return;
-    }
+  if (Arrived(part) &&
+      !SpendExtra(&r->pool.services[part.service].extra, r->pool.extra, now,
+                  IsNeeded(*q, part) ? 0 : kKeptForNeeded)) {
+    if (!open && now >= LastLook(*q)) return GiveUp(&part);
+    part.ask_at = now + kLookAgain;
+    return;
   }
   Send(r, q, index, std::move(to), now, actions);
 }
@@ -305,6 +323,7 @@
       a->arrived = false;
       return OnUnreachable(s, a->id, now);
     case reply_kind::kTimedOut:
+    case reply_kind::kCancelled:
       return OnGivenUp(s, a->id, true, now);
   }
 }
--- a/tray/relay/relay.h
+++ b/tray/relay/relay.h
@@ -64,8 +64,9 @@
   kNotSent,    // no connection; no byte left this host
   kBroken,     // broken off, cut short, or not an answer to this request
   kTimedOut,   // no answer within its deadline
+  kCancelled,  // given up by its request; never reported back
 };
-constexpr name_table<reply_kind, 7> kReplyKindNames = {{
+constexpr name_table<reply_kind, 8> kReplyKindNames = {{
     {reply_kind::kServed, "served"},
     {reply_kind::kFailed, "failed"},
     {reply_kind::kRefused, "refused"},
@@ -73,6 +74,7 @@
     {reply_kind::kNotSent, "not_sent"},
     {reply_kind::kBroken, "broken"},
     {reply_kind::kTimedOut, "timed_out"},
+    {reply_kind::kCancelled, "cancelled"},
 }};
 
 struct server_reply {
@@ -107,8 +109,8 @@
   micros sent_at = 0;
   bool open = true;
   bool may_have_run = true;
-  bool arrived = true;                     // false: no byte left this host
-  reply_kind end = reply_kind::kTimedOut;  // once closed
+  bool arrived = true;                      // false: no byte left this host
+  reply_kind end = reply_kind::kCancelled;  // once closed
 };
 
 struct relay_part {
--- a/tray/relayd/relay_metrics.cc
+++ b/tray/relayd/relay_metrics.cc
@@ -50,7 +50,6 @@
   std::array<std::array<Counter*, kOutcomes>, 2> requests;
   std::array<Histogram*, 2> latency;
   std::array<std::array<Counter*, kKinds>, 2> attempts;
-  Counter* cancelled;
   Family<Counter>* own;
   Family<Counter>* store_calls;
   Gauge* version;
@@ -86,7 +85,6 @@
           {{"try", tries[i]}, {"end", Word(kReplyKindNames[k].second)}});
     }
   }
-  impl_->cancelled = &attempts.Add({{"end", "cancelled"}});
   impl_->own = &Counters(r, "baobabtray_relay_own_answers_total",
                          "answers that this tier gave by itself");
   impl_->store_calls = &Counters(r, "baobabtray_relay_store_calls_total",
@@ -123,8 +121,6 @@
   impl_->attempts[extra ? 1 : 0][static_cast<size_t>(end)]->Increment();
 }
 
-void relay_metrics::CountCancelled() { impl_->cancelled->Increment(); }
-
 void relay_metrics::CountStoreCall(std::string_view call, store_end end) {
   impl_->store_calls
       ->Add({{"call", Word(call)}, {"end", Word(NameOf(kStoreEndNames, end))}})
--- a/tray/relayd/relay_metrics.h
+++ b/tray/relayd/relay_metrics.h
@@ -20,7 +20,6 @@
   void CountRequest(bool gathers, relay_outcome outcome, micros latency);
   void CountOwnAnswer(own_answer answer);
   void CountAttempt(bool extra, reply_kind end);
-  void CountCancelled();
   void CountStoreCall(std::string_view call, store_end end);
   void SetRoutes(int64_t version, int routes);
   void SetServers(int servers, int hosts);
--- a/tray/relayd/relay_worker.cc
+++ b/tray/relayd/relay_worker.cc
@@ -60,6 +60,7 @@
 
 struct running_attempt {
   uint64_t fetch = 0;
+  bool extra = false;
 };
 
 }  // namespace
@@ -306,6 +307,7 @@
     bool part = live.q.way->gathers();
     bool extra = live.q.parts[send.part].attempts.size() > 1;
     uint64_t id = live.q.id, attempt = send.attempt;
+    attempts_[attempt].extra = extra;
     attempts_[attempt].fetch = http_.Start(
         std::move(r), [this, id, attempt, part, extra](fetch_result result) {
           attempts_.erase(attempt);
@@ -351,7 +353,7 @@
   void Cancel(uint64_t attempt) {
     auto found = attempts_.find(attempt);
     if (found == attempts_.end()) return;
-    counters_.CountCancelled();
+    counters_.CountAttempt(found->second.extra, reply_kind::kCancelled);
     http_.Cancel(found->second.fetch);
     attempts_.erase(found);
   }
--- a/tray/testing/relay_test.cc
+++ b/tray/testing/relay_test.cc
@@ -517,6 +517,40 @@
   cr_assert_eq(q.outcome, relay_outcome::kNotRun);
 }
 
+// Every server of two shards refuses nearly half of its requests, which is more
+// than extra requests may make good. The request waits for room in the bound
+// rather than fail at once, and room goes to requests that need it.
+Test(gather, refused_part_waits_for_room_in_the_bound) {
+  host h;
+  for (const char* s : {"s", "t", "u"}) h.AddService(s);
+  h.AddRoute({"s", "t", "u"});
+  h.r.pool.extra = {.ratio = 0, .floor = 0, .window = 10 * kSecond};
+  relay_query q = h.Query();
+  relay_actions a = Start(&h, &q);
+  Reply(&h, &q, a.sends[0].attempt, Served());
+  Reply(&h, &q, a.sends[1].attempt, Ended(reply_kind::kRefused));
+  Reply(&h, &q, a.sends[2].attempt, Ended(reply_kind::kRefused));
+  cr_assert_not(q.finished);
+  cr_assert(RunTimer(&h, &q).sends.empty());
+  h.r.pool.extra.floor = 1.3;  // room for one needed request a service
+  cr_assert_eq(RunTimer(&h, &q).sends.size(), 1u, "one part is needed");
+  h.r.pool.extra.floor = 0;
+  relay_actions more;
+  while (!q.finished) more = RunTimer(&h, &q);
+  cr_assert_leq(h.now, q.deadline);
+}
+
+Test(extra, a_part_of_the_bound_is_kept_for_needed_requests) {
+  extra_bounds b{.ratio = 0, .floor = 20, .window = 10 * kSecond};
+  extra_window w;
+  int optional = 0, needed = 0;
+  while (SpendExtra(&w, b, kStart, 0.35)) ++optional;
+  while (SpendExtra(&w, b, kStart)) ++needed;
+  cr_assert_gt(optional, 5);
+  cr_assert_gt(needed, 3);
+  cr_assert_leq(optional + needed, 20);
+}
+
 // A random checker: servers answer, fail, refuse and fall silent in any order,
 // callers leave, servers come and go. The guarantees of relay.h hold at the end
 // of every request.
