--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,5 @@
 	@git ls-files '*.cc' '*.h' | xargs clang-format --dry-run --Werror
 	@git ls-files 'tray/*.cc' | grep -v -E 'testing/|bench/' | xargs -P 6 -n 2 \
 	  clang-tidy -p $(BUILD) --quiet 2>/dev/null
+	@tools/check_logs.sh
+	@tools/check_names.sh
--- a/tray/base/doc.cc
+++ b/tray/base/doc.cc
@@ -233,11 +233,18 @@
 }
 
 double doc_map::Fraction(std::string_view key, double fallback) {
+  return Decimal(key, 0, 1, fallback);
+}
+
+double doc_map::Decimal(std::string_view key, double low, double high,
+                        double fallback) {
   const doc_node* found = Find(key);
   if (found == nullptr) return fallback;
   double value = 0;
-  if (!absl::SimpleAtod(found->scalar, &value) || !(value >= 0 && value <= 1)) {
-    errors_->Add(*found, fmt::format("'{}' must be from 0 to 1", key));
+  if (!absl::SimpleAtod(found->scalar, &value) ||
+      !(value >= low && value <= high)) {
+    errors_->Add(*found,
+                 fmt::format("'{}' must be from {} to {}", key, low, high));
     return fallback;
   }
   return value;
--- a/tray/base/doc.h
+++ b/tray/base/doc.h
@@ -91,6 +91,8 @@
   int64_t Number(std::string_view key, number_range range);
   int64_t Number(std::string_view key, number_range range, int64_t fallback);
   double Fraction(std::string_view key, double fallback);  // in [0, 1]
+  double Decimal(std::string_view key, double low, double high,
+                 double fallback);
   bool Bool(std::string_view key, bool fallback);
   // The items of a list; empty when absent.
   const std::vector<doc_node>& List(std::string_view key);
--- a/tray/relayd/relay_host.cc
+++ b/tray/relayd/relay_host.cc
@@ -140,7 +140,7 @@
   void AwaitQuiet() {
     micros now = SteadyNow();
     micros since = now - stopping_at_;
-    micros most = options_.own.relay.grace_ms * kMillisecond;
+    micros most = options_.own.relay.grace;
     bool idle = worker_.in_hand() == 0;
     bool quiet = idle && now - worker_.last_request() >= kQuietTime;
     if (!closed_ && since >= most - kLastTime) {
--- a/tray/relayd/relay_worker.cc
+++ b/tray/relayd/relay_worker.cc
@@ -37,6 +37,10 @@
 constexpr micros kComeBackSoon = 60 * kMillisecond;
 // A service without servers, or a host without routes, takes longer to mend.
 constexpr micros kComeBackLater = 300 * kMillisecond;
+// How long after its start a host lets requests wait for the routes: some tens
+// of the store's answers. And how many.
+constexpr micros kRoutesTime = 300 * kMillisecond;
+constexpr size_t kMaxEarly = 500;
 // Idle callers' connections are kept longer than callers reuse them.
 constexpr int kIdleSeconds = 120;
 // Of the caller's patience, kept for the answer's way back.
@@ -58,6 +62,13 @@
   bool operator>(const timer_entry& other) const { return at > other.at; }
 };
 
+// A request that came before the routes were known.
+struct early_request {
+  caller_request request;
+  uint64_t connection = 0;
+  responder respond;
+};
+
 struct running_attempt {
   uint64_t fetch = 0;
   bool extra = false;
@@ -75,7 +86,8 @@
         work_(asio::make_work_guard(loop_)),
         http_(loop_),
         alarm_(loop_, [this] { RunTimers(); }),
-        probe_timer_(loop_) {
+        probe_timer_(loop_),
+        early_timer_(loop_) {
     state_.random.seed(std::random_device{}());
     relay_pool& p = state_.pool;
     p.data_centre = own.data_centre;
@@ -84,9 +96,9 @@
       p.region_of[at.data_centre] = at.region;
     }
     p.extra = {.ratio = own.relay.extra_ratio,
-               .window = own.relay.extra_window_ms * kMillisecond};
+               .window = own.relay.extra_window};
     p.extra_floor = own.relay.extra_floor;
-    p.leave_time = own.relay.leave_ms * kMillisecond;
+    p.leave_time = own.relay.leave;
     SetHosts(&p, 1, 0);
   }
 
@@ -133,6 +145,7 @@
     counters_.SetServers(static_cast<int>(state_.pool.by_id.size()),
                          state_.pool.hosts);
     LogReadiness();
+    if (table_ != nullptr && !early_.empty()) ServeEarly();
   }
 
  private:
@@ -215,28 +228,65 @@
     };
     absl::StatusOr<caller_request> request =
         ports_.callers.decode(std::move(r));
+    if (request.ok() && table_ == nullptr) {
+      return WaitForRoutes(*std::move(request), connection, respond);
+    }
     if (!request.ok()) {
       Log(log_level::kInfo, "malformed",
           {{"reason", MessageOf(request.status())}});
       return AnswerOwn(respond, own_answer::kMalformed, 0);
     }
-    if (table_ == nullptr) {
-      LogOwn(*request, own_answer::kNotRun, "no routes known yet");
-      return AnswerOwn(respond, own_answer::kNotRun, kComeBackLater);
+    Relay(*std::move(request), connection, std::move(respond));
+  }
+
+  // A host that has just started learns the routes within milliseconds if the
+  // store answers, so requests wait for that a moment before they are refused.
+  void WaitForRoutes(caller_request request, uint64_t connection,
+                     responder respond) {
+    bool wait =
+        SteadyNow() - started_at_ < kRoutesTime && early_.size() < kMaxEarly;
+    if (!wait) return RefuseEarly(request, respond);
+    early_.push_back({std::move(request), connection, std::move(respond)});
+    if (early_.size() > 1) return;
+    early_timer_.expires_after(std::chrono::microseconds(kRoutesTime));
+    early_timer_.async_wait([this](std::error_code error) {
+      if (!error) ServeEarly();
+    });
+  }
+
+  // Relays the requests that waited, or refuses them if there are no routes.
+  void ServeEarly() {
+    std::vector<early_request> early = std::move(early_);
+    early_.clear();
+    early_timer_.cancel();
+    for (early_request& e : early) {
+      if (table_ == nullptr) {
+        RefuseEarly(e.request, e.respond);
+      } else {
+        Relay(std::move(e.request), e.connection, std::move(e.respond));
+      }
     }
-    const route* way = MatchRoute(*table_, request->host, request->path);
+  }
+
+  void RefuseEarly(const caller_request& request, const responder& respond) {
+    LogOwn(request, own_answer::kNotRun, "no routes known yet");
+    AnswerOwn(respond, own_answer::kNotRun, kComeBackLater);
+  }
+
+  void Relay(caller_request request, uint64_t connection, responder respond) {
+    const route* way = MatchRoute(*table_, request.host, request.path);
     if (way == nullptr) {
-      LogOwn(*request, own_answer::kNoRoute, "no route matches");
+      LogOwn(request, own_answer::kNoRoute, "no route matches");
       return AnswerOwn(respond, own_answer::kNoRoute, 0);
     }
-    if (request->head_bytes > table_->bounds.max_head) {
+    if (request.head_bytes > table_->bounds.max_head) {
       return AnswerOwn(respond, own_answer::kHeadTooLarge, 0);
     }
-    if (request->body != nullptr &&
-        request->body->size() > table_->bounds.max_body) {
+    if (request.body != nullptr &&
+        request.body->size() > table_->bounds.max_body) {
       return AnswerOwn(respond, own_answer::kBodyTooLarge, 0);
     }
-    Begin(*std::move(request), way, connection, std::move(respond));
+    Begin(std::move(request), way, connection, std::move(respond));
   }
 
   void Begin(caller_request request, const route* way, uint64_t connection,
@@ -267,6 +317,9 @@
 
   // The caller's connection has closed: its requests are given up.
   void OnClose(uint64_t connection) {
+    std::erase_if(early_, [&](const early_request& e) {
+      return e.connection == connection;
+    });
     auto [first, last] = by_connection_.equal_range(connection);
     std::vector<uint64_t> ids;
     for (auto it = first; it != last; ++it) ids.push_back(it->second);
@@ -553,6 +606,9 @@
   alarm_clock alarm_;
   asio::steady_timer probe_timer_;
   bool probes_armed_ = false;
+  asio::steady_timer early_timer_;
+  std::vector<early_request> early_;  // came before the routes
+  const micros started_at_ = SteadyNow();
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> ready_;
   relay_state state_;
--- a/tray/testing/relayd_test.cc
+++ b/tray/testing/relayd_test.cc
@@ -357,6 +357,43 @@
   cr_assert_lt(SteadyNow() - left_at, 300 * kMillisecond);
 }
 
+// All hosts have lost power and come back: callers connect before the store has
+// answered for the first time.
+Test(worker, request_that_comes_before_the_routes_waits_a_moment) {
+  relay_metrics counters;
+  settings own = HostSettings(17520);
+  relay_worker worker(own, {platform::CallerCodec(), platform::ServerCodec()},
+                      &counters);
+  cr_assert(worker.Listen().ok());
+  std::thread traffic([&] { worker.Run(); });
+  asio::io_context loop(1);
+  platform_server server(loop, {.id = "i-1",
+                                .service = "c",
+                                .data_centre = "z",
+                                .port = 17525,
+                                .shards = false});
+  server.Listen();
+  fetcher http(loop);
+  int status = 0;
+  http.Start({.to = own.callers,
+              .path = "/p/x",
+              .headers = {"Host: h", "Request-Id: r1"}},
+             [&](fetch_result r) { status = r.status; });
+  loop.run_for(std::chrono::milliseconds(100));
+  cr_assert_eq(status, 0);
+  std::vector<store_fact> facts;
+  facts.push_back(platform::DecodeItem({.key = "op/config", .value = kConfig}));
+  facts.push_back(
+      platform::DecodeItem({.key = "servers/i-1", .value = server.Entry()}));
+  worker.PostFacts(std::move(facts));
+  for (int i = 0; i < 1000 && status == 0; ++i) {
+    loop.run_for(std::chrono::milliseconds(1));
+  }
+  worker.Stop();
+  traffic.join();
+  cr_assert_eq(status, 200);
+}
+
 Test(worker, host_without_routes_refuses_and_is_not_ready) {
   relay_metrics counters;
   settings own = HostSettings(17510);
--- a/tray/testing/text_test.cc
+++ b/tray/testing/text_test.cc
@@ -127,6 +127,25 @@
   }
 }
 
+Test(settings, of_a_relaying_host_are_read_and_checked) {
+  const std::string good =
+      "name: h\ndata_centre: d\nregion: r\ncallers: 1.2.3.4:1\n"
+      "peers: 1.2.3.4:2\nadmin: 1.2.3.4:3\nstore: 1.2.3.4:4\n"
+      "interface: platform\nrelay:\n  ready: 1.2.3.4:5\n"
+      "  places: [{data_centre: d, region: r}]\n"
+      "  extra_ratio: 0.25\n  extra_floor: 7\n  extra_window_s: 2.5\n"
+      "  leave_s: 3000e-3\n  grace_s: 6\n";
+  auto s = ParseSettings(good);
+  cr_assert(s.ok(), "%s", MessageOf(s.status()).c_str());
+  cr_assert_eq(s->speaks, interface_mode::kPlatform);
+  cr_assert_eq(s->relay.extra_window, 2500 * kMillisecond);
+  cr_assert_eq(s->relay.leave, 3 * kSecond);
+  cr_assert_eq(s->relay.places[0].region, "r");
+  cr_assert_not(ParseSettings(good + "  leave: 3\n").ok());
+  cr_assert_not(ParseSettings(good + "  grace_s: soon\n").ok());
+  cr_assert_not(ParseSettings(good.substr(0, good.find("relay:"))).ok());
+}
+
 Test(settings, are_checked_as_a_whole) {
   auto bad = ParseSettings(
       "name: e\ndata_centre: d\nregion: r\ncallers: '1.2.3.4:1'\n"
--- a/tray/text/settings.cc
+++ b/tray/text/settings.cc
@@ -46,16 +46,18 @@
                         .region = entry.String("region")});
     entry.RefuseUnknownKeys();
   }
-  constexpr number_range kTime{100, 600'000};
-  auto time = [&](std::string_view key, int fallback) {
-    return static_cast<int>(map.Number(key, kTime, fallback));
+  constexpr double kLeastSeconds = 0.1, kMostSeconds = 600;
+  auto seconds = [&](std::string_view key, micros fallback) {
+    double value = map.Decimal(key, kLeastSeconds, kMostSeconds,
+                               static_cast<double>(fallback) / kSecond);
+    return static_cast<micros>(value * kSecond);
   };
   r.extra_ratio = map.Fraction("extra_ratio", r.extra_ratio);
   r.extra_floor = static_cast<int>(
       map.Number("extra_floor", {0, 1'000'000}, r.extra_floor));
-  r.extra_window_ms = time("extra_window_ms", r.extra_window_ms);
-  r.leave_ms = time("leave_ms", r.leave_ms);
-  r.grace_ms = time("grace_ms", r.grace_ms);
+  r.extra_window = seconds("extra_window_s", r.extra_window);
+  r.leave = seconds("leave_s", r.leave);
+  r.grace = seconds("grace_s", r.grace);
   map.RefuseUnknownKeys();
   return r;
 }
--- a/tray/text/settings.h
+++ b/tray/text/settings.h
@@ -16,6 +16,7 @@
 #include "tray/base/endpoint.h"
 #include "tray/base/log.h"
 #include "tray/base/names.h"
+#include "tray/base/time.h"
 
 namespace baobabtray {
 
@@ -57,11 +58,11 @@
   // ratio x the requests for it + floor.
   double extra_ratio = 0.2;
   int extra_floor = 50;
-  int extra_window_ms = 10'000;
+  micros extra_window = 10 * kSecond;
   // Nothing reaches a backend server longer than this after it left.
-  int leave_ms = 3000;
+  micros leave = 3 * kSecond;
   // From SIGTERM until the process is killed.
-  int grace_ms = 6000;
+  micros grace = 6 * kSecond;
 };
 
 struct settings {
