--- a/tray/http/fetch.cc
+++ b/tray/http/fetch.cc
@@ -201,8 +201,6 @@
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, t->home->max_idle_seconds);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, OnNewSocket);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, this);
-    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, OnCloseSocket);
-    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnBeforeSend);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, t);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
@@ -330,75 +328,27 @@
     return 0;
   }
 
-  // A socket that libcurl has asked about. It stays in the epoll set while its
-  // connection is idle, since the next request mostly wants the same events.
-  struct watched_socket {
-    pool* home = nullptr;  // null: libcurl wants no events now
-    uint32_t events = 0;   // in the epoll set
-  };
-
   void Watch(pool* p, curl_socket_t fd, int what) {
-    auto found = watched_.find(fd);
     if (what == CURL_POLL_REMOVE) {
-      if (found != watched_.end()) found->second.home = nullptr;
+      epoll_ctl(epoll_.native_handle(), EPOLL_CTL_DEL, fd, nullptr);
+      watched_.erase(fd);
       return;
     }
-    uint32_t events = 0;
-    if (what & CURL_POLL_IN) events |= EPOLLIN;
-    if (what & CURL_POLL_OUT) events |= EPOLLOUT;
-    if (found == watched_.end()) {
-      Control(EPOLL_CTL_ADD, fd, events);
-      found = watched_.emplace(fd, watched_socket{}).first;
-    } else if (found->second.events != events) {
-      Control(EPOLL_CTL_MOD, fd, events);
-    }
-    found->second = {.home = p, .events = events};
-  }
-
-  void Control(int operation, int fd, uint32_t events) {
     epoll_event event = {};
-    event.events = events;
+    if (what & CURL_POLL_IN) event.events |= EPOLLIN;
+    if (what & CURL_POLL_OUT) event.events |= EPOLLOUT;
     event.data.fd = fd;
-    epoll_ctl(epoll_.native_handle(), operation, fd, &event);
-  }
-
-  // The pool that an event is for, or null. An idle connection with an event is
-  // about to be closed by libcurl, and is not to wake the loop again.
-  pool* HomeOf(int fd) {
-    auto found = watched_.find(fd);
-    if (found == watched_.end()) return nullptr;
-    if (found->second.home == nullptr) {
-      Control(EPOLL_CTL_DEL, fd, 0);
-      watched_.erase(found);
-      return nullptr;
-    }
-    return found->second.home;
-  }
-
-  static int OnCloseSocket(void* arg, curl_socket_t fd) {
-    static_cast<impl*>(arg)->watched_.erase(fd);
-    return close(fd);
+    bool known = watched_.contains(fd);
+    watched_[fd] = p;
+    epoll_ctl(epoll_.native_handle(), known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd,
+              &event);
   }
 
   void SetTimer(pool* p, micros at) {
     if (p->timer_at != 0) timers_.erase({p->timer_at, p});
     p->timer_at = at;
     if (at != 0) timers_.insert({at, p});
-    if (closing_ || timers_.empty()) return;
-    if (at != 0 && at <= SteadyNow()) return RunTimersSoon();
-    alarm_.ArmAt(timers_.begin()->first);
-  }
-
-  // libcurl starts each transfer by a timer that is due at once. Those of one
-  // turn of the loop share a call and need no timer of the system.
-  void RunTimersSoon() {
-    if (running_soon_) return;
-    running_soon_ = true;
-    asio::post(loop_, [this, alive = std::weak_ptr<bool>(alive_)] {
-      if (alive.expired()) return;
-      running_soon_ = false;
-      RunTimers();
-    });
+    if (!closing_ && !timers_.empty()) alarm_.ArmAt(timers_.begin()->first);
   }
 
   void RunTimers() {
@@ -428,8 +378,9 @@
     int count =
         epoll_wait(epoll_.native_handle(), events.data(), kEventsPerRound, 0);
     for (int i = 0; i < count; ++i) {
-      pool* p = HomeOf(events[i].data.fd);
-      if (p == nullptr) continue;
+      auto found = watched_.find(events[i].data.fd);
+      if (found == watched_.end()) continue;
+      pool* p = found->second;
       int mask = 0;
       if (events[i].events & EPOLLIN) mask |= CURL_CSELECT_IN;
       if (events[i].events & EPOLLOUT) mask |= CURL_CSELECT_OUT;
@@ -481,12 +432,10 @@
   uint64_t next_id_ = 1;
   std::map<std::pair<std::string, uint16_t>, std::unique_ptr<pool>> pools_;
   std::unordered_map<uint64_t, std::unique_ptr<transfer>> transfers_;
-  std::unordered_map<int, watched_socket> watched_;
+  std::unordered_map<int, pool*> watched_;
   std::set<std::pair<micros, pool*>> timers_;
   std::vector<CURL*> idle_handles_;
   uint64_t connections_opened_ = 0;
-  bool running_soon_ = false;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 fetcher::fetcher(asio::io_context& loop) : impl_(new impl(loop)) {}
--- a/tray/relay/relay.cc
+++ b/tray/relay/relay.cc
@@ -205,7 +205,7 @@
   actions->sends.push_back({.attempt = a.id,
                             .part = index,
                             .server = std::move(to),
-                            .connections = ConnectionsOf(r->pool, service),
+                            .connections = ConnectionsOf(r->pool, service, now),
                             .timeout = q->deadline - now});
   part.attempts.push_back(std::move(a));
   part.ask_at = 0;
--- a/tray/relay/servers.cc
+++ b/tray/relay/servers.cc
@@ -13,6 +13,9 @@
 // Kept free of the time for which a leaving server may be sent to: the change
 // has been on its way to this host, and a request is on its way to the server.
 constexpr micros kLeaveMargin = 500 * kMillisecond;
+// Part of the time for which leaving servers serve on, in which they are still
+// used if no other is left, as when the shards of an older version drain.
+constexpr micros kLastUsePart = 4;
 // Expected times of servers that were never measured, by distance. Replaced by
 // the first reply.
 constexpr micros kUnmeasured[] = {5 * kMillisecond, 8 * kMillisecond,
@@ -33,10 +36,13 @@
 constexpr micros kFaultHalfLife = 2 * kSecond;
 // Reported load of others counts in full at first and halves this often.
 constexpr micros kLoadHalfLife = 50 * kMillisecond;
-// Part of a server's connections that live hosts divide. The rest is for those
-// of hosts that lost power, which the server counts until it notices, and for
-// hosts that have started since.
+// Part of a server's connections that live hosts divide. The rest is for hosts
+// that have started since the last count.
 constexpr double kDividedPart = 0.75;
+// The same for a host that has just started. If all lost power together, their
+// old connections are counted by the servers for some seconds beside the new.
+constexpr double kDividedAtStart = 0.5;
+constexpr micros kStartTime = 8 * kSecond;
 // A server that can't be reached is left alone this long, doubled each time.
 constexpr micros kFirstHold = 200 * kMillisecond;
 constexpr micros kMaxHold = 2 * kSecond;
@@ -143,8 +149,9 @@
   if (!s->info.leaving) {
     s->last_use = 0;
   } else if (!was_leaving) {
-    // How long ago a server left that was not known before can't be told.
-    s->last_use = known ? now + p->leave_time / 2 : now;
+    // How long ago a server left that was not known before can't be told, and
+    // a change may have been learned late.
+    s->last_use = known ? now + p->leave_time / kLastUsePart : now;
   }
   if (!known) p->services[s->info.service].servers.push_back(s);
 }
@@ -201,8 +208,10 @@
   return static_cast<micros>(expected);
 }
 
-int ConnectionsOf(const relay_pool& p, const relay_service& s) {
-  double divided = s.terms.max_connections * kDividedPart;
+int ConnectionsOf(const relay_pool& p, const relay_service& s, micros now) {
+  bool starting = now - p.started_at < kStartTime;
+  double part = starting ? kDividedAtStart : kDividedPart;
+  double divided = s.terms.max_connections * part;
   return std::max(1, static_cast<int>(divided / p.hosts));
 }
 
@@ -215,7 +224,7 @@
   auto found = p->services.find(std::string(r.service));
   if (found != p->services.end()) {
     const relay_service& service = found->second;
-    auto most = static_cast<size_t>(ConnectionsOf(*p, service));
+    auto most = static_cast<size_t>(ConnectionsOf(*p, service, r.now));
     size_t count = service.servers.size();
     for (size_t i = 0; i < count; ++i) {
       // The first of equal servers wins: begin at a random one.
--- a/tray/relay/servers.h
+++ b/tray/relay/servers.h
@@ -107,7 +107,8 @@
   int extra_floor = 0;  // over all hosts
   micros leave_time = 3 * kSecond;
   // Changing.
-  int hosts = 1;  // that shares are divided by
+  int hosts = 1;          // that shares are divided by
+  micros started_at = 0;  // of this host
   std::unordered_map<std::string, relay_service> services;
   std::unordered_map<std::string, server_ref> by_id;
   std::set<std::string, std::less<>> out_of_service;       // data centres
@@ -147,7 +148,7 @@
 micros ExpectedTime(const relay_server& s, micros now);
 
 // Connections that this host may have to a server of the service.
-int ConnectionsOf(const relay_pool& p, const relay_service& s);
+int ConnectionsOf(const relay_pool& p, const relay_service& s, micros now);
 
 // What happens to attempts.
 void OnSent(relay_server* s, uint64_t attempt, micros now);
--- a/tray/relayd/relay_dump.cc
+++ b/tray/relayd/relay_dump.cc
@@ -37,7 +37,7 @@
     }
     extra_window extra = service.extra;
     services[name] = {{"servers", std::move(servers)},
-                      {"connections", ConnectionsOf(r.pool, service)},
+                      {"connections", ConnectionsOf(r.pool, service, now)},
                       {"extra_left", ExtraLeft(&extra, r.pool.extra, now)}};
   }
   json routes = json::array();
--- a/tray/relayd/relay_worker.cc
+++ b/tray/relayd/relay_worker.cc
@@ -99,6 +99,7 @@
                .window = own.relay.extra_window};
     p.extra_floor = own.relay.extra_floor;
     p.leave_time = own.relay.leave;
+    p.started_at = started_at_;
     SetHosts(&p, 1, 0);
   }
 
@@ -165,10 +166,13 @@
   }
 
   void Learn(const server_fact& f, micros now) {
-    Log(log_level::kDebug, "server_registered",
-        {{"server", f.server.id},
-         {"service", f.server.service},
-         {"leaving", f.server.leaving ? "true" : "false"}});
+    if (f.server.leaving) {
+      Log(log_level::kInfo, "server_leaving",
+          {{"server", f.server.id}, {"service", f.server.service}});
+    } else {
+      Log(log_level::kDebug, "server_registered",
+          {{"server", f.server.id}, {"service", f.server.service}});
+    }
     PutServer(&state_.pool, f.server, now);
   }
 
--- a/tray/testing/http_test.cc
+++ b/tray/testing/http_test.cc
@@ -218,3 +218,56 @@
                                    [](http_request, responder) {});
   cr_assert(!server.ok());
 }
+
+// A connection attempt that fails or is given up leaves a socket number behind,
+// which the next connection gets. Its events must not be missed.
+Test(fetch, connects_after_attempts_that_failed) {
+  asio::io_context loop(1);
+  wire_server server(loop, kHost, 17131,
+                     [](std::shared_ptr<wire_connection> c,
+                        const wire_request&) { c->Reply(200, {}, "{}"); });
+  server.Listen();
+  // A listener whose queue is full: connections to it hang.
+  asio::ip::tcp::acceptor full(loop);
+  full.open(asio::ip::tcp::v4());
+  full.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+  full.bind({asio::ip::make_address(kHost), 17132});
+  full.listen(0);
+  std::vector<asio::ip::tcp::socket> fill;
+  for (int i = 0; i < 4; ++i) {
+    fill.emplace_back(loop);
+    fill.back().async_connect({asio::ip::make_address(kHost), 17132},
+                              [](std::error_code) {});
+  }
+  loop.run_for(std::chrono::milliseconds(20));
+  fetcher http(loop);
+  for (uint16_t port : {uint16_t{17132}, uint16_t{17133}}) {
+    fetch_request failing = To(port);
+    failing.connect_timeout = 50 * kMillisecond;
+    cr_assert_eq(Fetch(loop, http, failing).fault, fetch_fault::kNotSent);
+    fetch_request good = To(17131);
+    good.timeout = kSecond;
+    good.fresh = true;
+    cr_assert_eq(Fetch(loop, http, good).fault, fetch_fault::kNone,
+                 "after port %d", port);
+  }
+}
+
+Test(fetch, request_sent_once_is_not_resent_when_a_reused_connection_dies) {
+  asio::io_context loop(1);
+  int received = 0;
+  wire_server server(
+      loop, kHost, 17134,
+      [&](std::shared_ptr<wire_connection> c, const wire_request&) {
+        if (++received == 1) return c->Reply(200, {}, "{}");
+        c->Reset();
+      });
+  server.Listen();
+  fetcher http(loop);
+  fetch_request r = To(17134);
+  r.send_once = true;
+  cr_assert_eq(Fetch(loop, http, r).fault, fetch_fault::kNone);
+  cr_assert_eq(Fetch(loop, http, r).fault, fetch_fault::kBroken);
+  loop.run_for(std::chrono::milliseconds(50));
+  cr_assert_eq(received, 2);
+}
--- a/tray/testing/relay_test.cc
+++ b/tray/testing/relay_test.cc
@@ -312,10 +312,15 @@
   host h;
   h.AddService("s", 36);
   relay_service& s = h.r.pool.services["s"];
+  h.r.pool.started_at = h.now;
   SetHosts(&h.r.pool, 1, 8);
-  cr_assert_leq(8 * ConnectionsOf(h.r.pool, s), 36);
+  int at_start = ConnectionsOf(h.r.pool, s, h.now);
+  int later = ConnectionsOf(h.r.pool, s, h.now + 20 * kSecond);
+  cr_assert_leq(8 * later, 36);
+  // Servers still count the connections from before a power loss.
+  cr_assert_leq(8 * (at_start + at_start), 36);
   SetHosts(&h.r.pool, 8, 0);
-  cr_assert_leq(8 * ConnectionsOf(h.r.pool, s), 36);
+  cr_assert_leq(8 * ConnectionsOf(h.r.pool, s, h.now + 20 * kSecond), 36);
 }
 
 Test(servers, cold_server_gets_its_rate_divided_by_the_hosts) {
