Ignore entries that a backend server wrote before its newest one

Read for it: an entry that was delayed and says ready again would have taken the leaving back, since the sequence was not looked at. Change: an entry with an older sequence of the same start is ignored. Test first: late_entry_does_not_take_back_that_a_server_leaves.

--- a/tray/relay/servers.cc
+++ b/tray/relay/servers.cc
@@ -130,6 +130,11 @@
 void PutServer(relay_pool* p, registered_server entry, micros now) {
   server_ref& s = p->by_id[entry.id];
   bool known = s != nullptr;
+  // An entry that was written late says what was so before.
+  if (known && s->info.started_ms == entry.started_ms &&
+      entry.sequence < s->info.sequence) {
+    return;
+  }
   if (known &&
       (s->info.started_ms != entry.started_ms ||
        s->info.service != entry.service || s->info.address != entry.address)) {
--- a/tray/relay/servers.h
+++ b/tray/relay/servers.h
@@ -51,6 +51,7 @@
   micros cold_for = 0;     // from now on
   int64_t started_ms = 0;  // wall clock of its start; another value: it knows
                            // nothing of before
+  int64_t sequence = 0;    // rises with each entry since its start
 };
 
 // Load as reported in a reply.
--- a/tray/testing/relay_test.cc
+++ b/tray/testing/relay_test.cc
@@ -255,6 +255,28 @@
   cr_assert_not(h.r.pool.by_id.contains("s-b"));
 }
 
+// A write of the server's own that was delayed: it says ready again, with an
+// older sequence, after the server said that it leaves.
+Test(servers, late_entry_does_not_take_back_that_a_server_leaves) {
+  host h;
+  h.AddService("s");
+  registered_server entry = Entry("s-a", "s", "a");
+  entry.sequence = 7;
+  entry.leaving = true;
+  PutServer(&h.r.pool, entry, h.now);
+  entry.sequence = 6;
+  entry.leaving = false;
+  PutServer(&h.r.pool, entry, h.now + 1);
+  cr_assert(h.Server("s-a")->info.leaving);
+  pick_request r{.service = "s", .now = h.now + 10 * kSecond};
+  cr_assert_neq(PickServer(&h.r.pool, r, nullptr)->info.id, "s-a");
+  // After another start its counts begin anew.
+  entry.started_ms = 2;
+  entry.sequence = 1;
+  PutServer(&h.r.pool, entry, r.now);
+  cr_assert_eq(PickServer(&h.r.pool, r, nullptr)->info.id, "s-a");
+}
+
 Test(servers, entry_that_comes_back_after_an_outage_is_used_again) {
   host h;
   h.AddService("s");
