--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
 # make demo       installs what is missing, builds, runs the main job
+# make demo-platform  the same for a relaying host on the stand-in platform
 # make test       the same, runs all tests
 # make bench      all benchmarks with their bounds; bench-quick in under 50 s
 # make capacity   slopes at several sizes, and the table of docs/CAPACITY.md
@@ -8,7 +9,7 @@
 BUILD := build
 PACKAGES := $(shell grep -v '^\#' packages.txt)
 
-.PHONY: all deps build demo test bench bench-quick capacity format lint
+.PHONY: all deps build demo demo-platform test bench bench-quick capacity format lint
 
 all: build
 
@@ -27,6 +28,9 @@
 demo: build
 	@tools/demo.sh $(BUILD)
 
+demo-platform: build
+	@tools/demo_platform.sh $(BUILD)
+
 test: build
 	@cd $(BUILD) && ctest --output-on-failure
 
@@ -44,7 +48,8 @@
 
 lint: build
 	@git ls-files '*.cc' '*.h' | xargs clang-format --dry-run --Werror
-	@git ls-files 'tray/*.cc' | grep -v -E 'testing/|bench/' | xargs -P 6 -n 2 \
+	@git ls-files 'tray/*.cc' 'platform/*.cc' | grep -v -E 'testing/|bench/' | xargs -P 6 -n 2 \
 	  clang-tidy -p $(BUILD) --quiet 2>/dev/null
 	@tools/check_logs.sh
 	@tools/check_names.sh
+	@for f in tools/*.sh tools/bench.py; do test -x $$f || { echo "$$f is not executable"; exit 1; }; done
