Relayed requests by a client on Asio and http_parser rather than libcurl

Change: tray/http/relay_client, one write and one read a request, replies read by http_parser, a read always under way so that a server's close is seen before the next request. The head that all attempts share is written once.

--- a/tray/relay/ports.h
+++ b/tray/relay/ports.h
@@ -16,6 +16,7 @@
 #include "absl/status/statusor.h"
 #include "tray/base/names.h"
 #include "tray/http/fetch.h"
+#include "tray/http/relay_client.h"
 #include "tray/http/serve.h"
 #include "tray/relay/relay.h"
 #include "tray/routes/routes.h"
@@ -32,8 +33,8 @@
   std::string method;
   std::string target;  // path and query as sent
   std::string path;
-  std::vector<std::string> headers;  // "Name: value", to be passed on
-  std::string content_type;
+  // Request line and headers as passed on, each line ended by CRLF.
+  std::shared_ptr<const std::string> head;
   std::shared_ptr<const std::string> body;
   size_t head_bytes = 0;
   micros patience = 0;  // how long the caller waits; 0: not said
@@ -77,8 +78,8 @@
 // ---- Backend servers -------------------------------------------------------
 
 struct server_codec {
-  fetch_request (*encode)(const caller_request& request,
-                          const relay_send& send) = nullptr;
+  relay_call (*encode)(const caller_request& request,
+                       const relay_send& send) = nullptr;
   // `part`: the answer is one shard's part of a merged answer.
   server_reply (*decode)(fetch_result reply, bool part) = nullptr;
 };
--- a/tray/relayd/relay_worker.cc
+++ b/tray/relayd/relay_worker.cc
@@ -357,9 +357,10 @@
   void Send(const live_request& live, relay_send send) {
     const endpoint& to = send.server->info.address;
     http_.SetConnections(to, send.connections);
-    fetch_request r = ports_.servers.encode(live.request, send);
+    relay_call r = ports_.servers.encode(live.request, send);
     r.connect_timeout = std::min(kConnectTime, send.timeout);
-    // A connection that dies under a request must not be able to run it twice.
+    // A kept connection may close as the request crosses; that request could
+    // not be sent again, since it may have run.
     r.fresh = live.q.way->kind == request_kind::kNonIdempotent;
     bool part = live.q.way->gathers();
     bool extra = live.q.parts[send.part].attempts.size() > 1;
@@ -606,7 +607,7 @@
   relay_metrics& counters_;
   asio::io_context loop_;
   asio::executor_work_guard<asio::io_context::executor_type> work_;
-  fetcher http_;
+  relay_client http_;
   alarm_clock alarm_;
   asio::steady_timer probe_timer_;
   bool probes_armed_ = false;
