Ask a second server early enough for its answer; wait for a near connection

Ruled out: the processor as the cause, which the traces show as 10 to 15 ms a request. Change: two requests for each connection may be under way, and the choice adds the wait for it; a request that got no connection within its connect time is proven not sent (no_turn). A second server is asked by the time that leaves p85 of second servers' answers until the aim, but only in that part of the bound on extra requests which is not kept for failures. The mean of a server is forgotten no further than its fastest reply. Tests: three patterns in relay_test.

--- a/tray/fleet/latency.cc
+++ b/tray/fleet/latency.cc
@@ -74,4 +74,8 @@
   return track.p95 == 0 ? fallback : track.p95;
 }
 
+micros QuantileOf(const latency_track& track, double q, micros fallback) {
+  return track.total < kMinSamples ? fallback : Quantile(track, q);
+}
+
 }  // namespace baobabtray
--- a/tray/fleet/latency.h
+++ b/tray/fleet/latency.h
@@ -38,6 +38,8 @@
 micros MedianOf(const latency_track& track, micros fallback);
 micros P85Of(const latency_track& track, micros fallback);
 micros P95Of(const latency_track& track, micros fallback);
+// Any quantile, from 0 to 1; O(kBuckets).
+micros QuantileOf(const latency_track& track, double q, micros fallback);
 
 }  // namespace baobabtray
 
--- a/tray/http/fetch.h
+++ b/tray/http/fetch.h
@@ -68,13 +68,15 @@
   kBroken,    // the connection broke, or the reply was cut short
   kTimedOut,  // bytes may have left
   kCrossed,   // the reply echoed another id; the connection was closed
+  kNoTurn,    // no connection became free in time; no byte left this host
 };
-constexpr name_table<fetch_fault, 5> kFetchFaultNames = {{
+constexpr name_table<fetch_fault, 6> kFetchFaultNames = {{
     {fetch_fault::kNone, "none"},
     {fetch_fault::kNotSent, "not_sent"},
     {fetch_fault::kBroken, "broken"},
     {fetch_fault::kTimedOut, "timed_out"},
     {fetch_fault::kCrossed, "crossed"},
+    {fetch_fault::kNoTurn, "no_turn"},
 }};
 
 struct fetch_result {
--- a/tray/http/relay_client.cc
+++ b/tray/http/relay_client.cc
@@ -155,8 +155,8 @@
   bool interim = parser->status_code < 200;
   bool wrong = !t.call.id.empty() && !reply.id_right && !interim;
   // The end of a reply without a length is the connection's.
-  bool framed = (parser->flags & F_CHUNKED) != 0 ||
-                parser->content_length != ULLONG_MAX;
+  bool framed =
+      (parser->flags & F_CHUNKED) != 0 || parser->content_length != ULLONG_MAX;
   reply.repeat &= wrong && framed && c->repeats < kMaxRepeats;
   reply.crossed = wrong && !reply.repeat;
   return t.call.no_reply_body ? 1 : 0;
@@ -274,6 +274,7 @@
       Close(p->idle.front());
     }
     if (p->open < p->most) return Connect(p, std::move(t));
+    AddDeadline(t->start + t->call.connect_timeout, t->id);
     p->waiting.push_back(std::move(t));
   }
 
@@ -504,13 +505,19 @@
 
   void CheckDeadline(transfer_ref t, micros now) {
     const connection* c = t->on;
-    bool sent = c != nullptr && c->made;
-    bool unmade = c != nullptr && !c->made;
-    bool late = now >= t->start + t->call.timeout;
-    late |= unmade && now >= c->begun + t->call.connect_timeout;
-    if (!late) return;
+    micros patience = t->call.connect_timeout;
+    if (c == nullptr && now >= t->start + patience) {
+      CloseConnectionOf(t);
+      return End(t, fetch_fault::kNoTurn);
+    }
+    if (c != nullptr && !c->made && now >= c->begun + patience) {
+      CloseConnectionOf(t);
+      return End(t, fetch_fault::kNotSent);
+    }
+    if (now < t->start + t->call.timeout) return;
     CloseConnectionOf(t);
-    End(t, sent ? fetch_fault::kTimedOut : fetch_fault::kNotSent);
+    End(t, c != nullptr && c->made ? fetch_fault::kTimedOut
+                                   : fetch_fault::kNotSent);
   }
 
   asio::io_context& loop_;
--- a/tray/http/relay_client.h
+++ b/tray/http/relay_client.h
@@ -43,6 +43,7 @@
   std::string id;                           // that the reply must echo
   std::string id_header;                    // in this header
   micros timeout = 1 * kSecond;
+  // Bounds the wait for a free connection, and then for a new one.
   micros connect_timeout = 1 * kSecond;
   bool fresh = false;  // on a new connection, where no idle close can cross it
 };
--- a/tray/relay/extra.cc
+++ b/tray/relay/extra.cc
@@ -44,6 +44,12 @@
   return Allowed(*w, b) - Sum(w->extras);
 }
 
+double ExtraPerFirst(extra_window* w, const extra_bounds& b, micros now) {
+  Advance(w, b, now);
+  int firsts = Sum(w->firsts);
+  return firsts == 0 ? kSafePart * b.ratio : Allowed(*w, b) / firsts;
+}
+
 bool SpendExtra(extra_window* w, const extra_bounds& b, micros now,
                 double kept) {
   if (ExtraLeft(w, b, now) < 1 + kept * Allowed(*w, b)) return false;
--- a/tray/relay/extra.h
+++ b/tray/relay/extra.h
@@ -38,6 +38,10 @@
 bool SpendExtra(extra_window* w, const extra_bounds& b, micros now,
                 double kept = 0);
 
+// Extra requests for each first one that the bound allows, on average over the
+// window. The ratio alone while no request is known.
+double ExtraPerFirst(extra_window* w, const extra_bounds& b, micros now);
+
 // Extra requests that the bound allows at `now`.
 double ExtraLeft(extra_window* w, const extra_bounds& b, micros now);
 
--- a/tray/relay/relay.cc
+++ b/tray/relay/relay.cc
@@ -7,14 +7,17 @@
 namespace baobabtray {
 namespace {
 
-// A second server is asked once a reply is this many times later than p85 of
-// the route's replies, and no later than this part of the route's aim, so that
-// its answer can still be on time.
+// A reply is late once it takes this many times p85 of the route's replies.
 constexpr double kLateFactor = 1.5;
 constexpr micros kLateSlack = 2 * kMillisecond;
-constexpr double kLatestAsk = 0.4;
-// The same part while too few replies are known.
+// Part of the route's aim after which a second server is asked while too few
+// replies are known; and the latest, while none of a second server is.
 constexpr double kUnknownAsk = 0.2;
+constexpr double kLatestAsk = 0.4;
+// Part of the bound on extra requests that may go to replies which are not late
+// yet, so that a second server's answer can still be on time. The rest is for
+// failures.
+constexpr double kEarlyPart = 0.6;
 // Part of the bound on extra requests that is kept for parts without which a
 // request would fail: leaving out one part of ten costs its caller a fifth of
 // the answer, leaving out too many costs all of it.
@@ -154,16 +157,29 @@
          actions);
 }
 
-// After which time without a reply a second server is asked.
-micros LateAfter(const relay_state& r, const route& way) {
+// After which time without a reply a second server is asked: when the reply is
+// late, but soon enough for the second server to answer by the aim, as far as
+// the bound on extra requests goes.
+micros LateAfter(relay_state* r, const route& way, relay_service* service,
+                 micros now) {
   double aim = static_cast<double>(way.aim > 0 ? way.aim : way.time_limit);
-  auto found = r.pool.latency.find(way.name);
   auto unknown = static_cast<micros>(aim * kUnknownAsk);
-  if (found == r.pool.latency.end() || found->second.p85 == 0) return unknown;
-  auto late = static_cast<micros>(static_cast<double>(found->second.p85) *
-                                  kLateFactor) +
-              kLateSlack;
-  return std::min(late, static_cast<micros>(aim * kLatestAsk));
+  auto found = r->pool.latency.find(way.name);
+  if (found == r->pool.latency.end()) return unknown;
+  const latency_track& firsts = found->second.firsts;
+  if (firsts.p85 == 0) return unknown;
+  auto late =
+      static_cast<micros>(static_cast<double>(firsts.p85) * kLateFactor) +
+      kLateSlack;
+  auto latest = static_cast<micros>(aim * kLatestAsk);
+  const latency_track& extras = found->second.extras;
+  if (extras.p85 != 0) {
+    latest = static_cast<micros>(aim) - kAnswerMargin - extras.p85;
+  }
+  if (late <= latest) return late;
+  double spare = ExtraPerFirst(&service->extra, r->pool.extra, now);
+  double asked = std::clamp(kEarlyPart * spare, 0.0, 1.0);
+  return std::clamp(latest, QuantileOf(firsts, 1 - asked, late), late);
 }
 
 // True if one more attempt of the part is allowed.
@@ -209,7 +225,8 @@
                             .timeout = q->deadline - now});
   part.attempts.push_back(std::move(a));
   part.ask_at = 0;
-  if (MayAskAgain(*q, part)) part.ask_at = now + LateAfter(*r, *q->way);
+  if (MayAskAgain(*q, part))
+    part.ask_at = now + LateAfter(r, *q->way, &service, now);
 }
 
 // Sends the part's first attempt, or says when to look again.
@@ -322,6 +339,10 @@
       a->may_have_run = false;
       a->arrived = false;
       return OnUnreachable(s, a->id, now);
+    case reply_kind::kNoTurn:
+      a->may_have_run = false;
+      a->arrived = false;
+      return OnGivenUp(s, a->id, false, now);
     case reply_kind::kTimedOut:
     case reply_kind::kCancelled:
       return OnGivenUp(s, a->id, true, now);
@@ -368,12 +389,16 @@
   if (a == nullptr || !a->open) return;
   NoteReply(a, reply, now);
   relay_part& part = q->parts[index];
+  if (reply.kind == reply_kind::kServed) {
+    route_latency& latency = r->pool.latency[q->way->name];
+    bool first = a == &part.attempts.front();
+    AddLatency(first ? &latency.firsts : &latency.extras, now - a->sent_at);
+  }
   if (!q->finished && part.answer == nullptr) {
     if (reply.kind == reply_kind::kServed) {
       part.answer = reply.answer;
       part.ask_at = 0;
       ++q->answered;
-      AddLatency(&r->pool.latency[q->way->name], now - a->sent_at);
     } else {
       if (reply.kind == reply_kind::kFailed) part.failure = reply.answer;
       if (!part.given_up && q->deadline - now >= kLeastTime) {
--- a/tray/relay/relay.h
+++ b/tray/relay/relay.h
@@ -62,16 +62,18 @@
   kRefused,    // the server says that it did not run the request
   kMisplaced,  // another server has the address; not run
   kNotSent,    // no connection; no byte left this host
+  kNoTurn,     // no connection became free; no byte left this host
   kBroken,     // broken off, cut short, or not an answer to this request
   kTimedOut,   // no answer within its deadline
   kCancelled,  // given up by its request; never reported back
 };
-constexpr name_table<reply_kind, 8> kReplyKindNames = {{
+constexpr name_table<reply_kind, 9> kReplyKindNames = {{
     {reply_kind::kServed, "served"},
     {reply_kind::kFailed, "failed"},
     {reply_kind::kRefused, "refused"},
     {reply_kind::kMisplaced, "misplaced"},
     {reply_kind::kNotSent, "not_sent"},
+    {reply_kind::kNoTurn, "no_turn"},
     {reply_kind::kBroken, "broken"},
     {reply_kind::kTimedOut, "timed_out"},
     {reply_kind::kCancelled, "cancelled"},
--- a/tray/relay/servers.cc
+++ b/tray/relay/servers.cc
@@ -36,6 +36,10 @@
 constexpr micros kFaultHalfLife = 2 * kSecond;
 // Reported load of others counts in full at first and halves this often.
 constexpr micros kLoadHalfLife = 50 * kMillisecond;
+// Requests for each of a server's connections that may be under way or wait for
+// one: a near server that answers in some ms is worth waiting for, when the
+// next one is far away.
+constexpr size_t kPerConnection = 2;
 // Part of a server's connections that live hosts divide. The rest is for hosts
 // that have started since the last count.
 constexpr double kDividedPart = 0.75;
@@ -192,12 +196,14 @@
   p->extra.floor = static_cast<double>(p->extra_floor) / p->hosts;
 }
 
-micros ExpectedTime(const relay_server& s, micros now) {
+micros ExpectedTime(const relay_server& s, int connections, micros now) {
   double base = static_cast<double>(kUnmeasured[static_cast<int>(s.away)]);
   if (s.typical != 0) {
     micros age = std::min(now - s.typical_at - kTypicalHalfLife,
                           kMaxHalvings * kTypicalHalfLife);
-    base = Decayed(static_cast<double>(s.typical), age, kTypicalHalfLife);
+    base =
+        std::max(Decayed(static_cast<double>(s.typical), age, kTypicalHalfLife),
+                 static_cast<double>(s.fastest));
   }
   if (!s.open.empty()) {
     base = std::max(base, static_cast<double>(now - s.open.front().sent_at));
@@ -206,6 +212,8 @@
                  Decayed(s.others, now - s.others_at, kLoadHalfLife);
   double slots = std::max(1, s.info.slots);
   double expected = base * (1 + std::max(0.0, queue + 1 - slots) / slots);
+  double waiting = static_cast<double>(s.open.size()) + 1 - connections;
+  if (waiting > 0) expected += base * waiting / connections;
   expected += Decayed(s.faults, now - s.faults_at, kFaultHalfLife) *
               static_cast<double>(kFaultCost);
   if (s.away == server_distance::kFar) expected += kFarCost;
@@ -229,7 +237,8 @@
   auto found = p->services.find(std::string(r.service));
   if (found != p->services.end()) {
     const relay_service& service = found->second;
-    auto most = static_cast<size_t>(ConnectionsOf(*p, service, r.now));
+    int connections = ConnectionsOf(*p, service, r.now);
+    size_t most = static_cast<size_t>(connections) * kPerConnection;
     size_t count = service.servers.size();
     for (size_t i = 0; i < count; ++i) {
       // The first of equal servers wins: begin at a random one.
@@ -240,7 +249,7 @@
         busy = true;
         continue;
       }
-      micros time = ExpectedTime(*s, r.now);
+      micros time = ExpectedTime(*s, connections, r.now);
       if (best == nullptr || tier < best_tier ||
           (tier == best_tier && time < best_time)) {
         best = s;
@@ -268,6 +277,7 @@
   if (sent_at == 0) return;
   Alive(s);
   micros sample = now - sent_at;
+  s->fastest = s->fastest == 0 ? sample : std::min(s->fastest, sample);
   if (s->typical == 0) {
     s->typical = sample;
   } else {
--- a/tray/relay/servers.h
+++ b/tray/relay/servers.h
@@ -9,8 +9,10 @@
 //
 // A choice takes the smallest expected time: the server's running mean of
 // latencies, or the age of its oldest open attempt if that is more, times the
-// length of its queue. A paused server is thus avoided from the moment at which
-// its first reply is overdue, and tried again as its mean decays. The running
+// length of its queue, and a wait for a connection if all that this host may
+// have are in use. A paused server is thus avoided from the moment at which
+// its first reply is overdue, and tried again as its mean decays towards the
+// fastest reply that it ever gave. The running
 // mean is that of the paper's trace table (one part in five for the newest
 // value; docs/design/choice.md), without its search for untried entries: a far
 // server stays untried until a near one is slow.
@@ -81,6 +83,7 @@
   bool misplaced = false;  // its address answered as another server
   absl::InlinedVector<open_attempt, 8> open;  // oldest first
   micros typical = 0;                         // running mean; 0: never measured
+  micros fastest = 0;                         // reply ever; 0: never measured
   micros typical_at = 0;
   double faults = 0;  // decaying count of failed and refused attempts
   micros faults_at = 0;
@@ -93,6 +96,12 @@
 };
 using server_ref = std::shared_ptr<relay_server>;
 
+// Latencies of one route's attempts.
+struct route_latency {
+  latency_track firsts;
+  latency_track extras;  // from the extra attempt's own start
+};
+
 struct relay_service {
   service_terms terms;
   std::vector<server_ref> servers;
@@ -113,7 +122,7 @@
   std::unordered_map<std::string, relay_service> services;
   std::unordered_map<std::string, server_ref> by_id;
   std::set<std::string, std::less<>> out_of_service;       // data centres
-  std::unordered_map<std::string, latency_track> latency;  // by route name
+  std::unordered_map<std::string, route_latency> latency;  // by route name
 };
 
 // Entries and configuration.
@@ -145,8 +154,9 @@
 server_ref PickServer(relay_pool* p, const pick_request& r,
                       pick_problem* problem);
 
-// Expected time until the server would answer one more request.
-micros ExpectedTime(const relay_server& s, micros now);
+// Expected time until the server would answer one more request, over at most
+// `connections` connections.
+micros ExpectedTime(const relay_server& s, int connections, micros now);
 
 // Connections that this host may have to a server of the service.
 int ConnectionsOf(const relay_pool& p, const relay_service& s, micros now);
--- a/tray/relayd/relay_dump.cc
+++ b/tray/relayd/relay_dump.cc
@@ -9,7 +9,7 @@
 
 using nlohmann::json;
 
-json DumpServer(const relay_server& s, micros now) {
+json DumpServer(const relay_server& s, int connections, micros now) {
   return {{"id", s.info.id},
           {"address", ToString(s.info.address)},
           {"data_centre", s.info.data_centre},
@@ -20,9 +20,17 @@
           {"held_ms", std::max<micros>(0, s.held_until - now) / kMillisecond},
           {"open", s.open.size()},
           {"typical_us", s.typical},
+          {"fastest_us", s.fastest},
           {"typical_age_ms", (now - s.typical_at) / kMillisecond},
           {"faults", s.faults},
-          {"expected_us", ExpectedTime(s, now)}};
+          {"expected_us", ExpectedTime(s, connections, now)}};
+}
+
+// Of the route's first or extra attempts; 0: not known.
+micros P85Of(const relay_state& r, const route& way, bool extras) {
+  auto found = r.pool.latency.find(way.name);
+  if (found == r.pool.latency.end()) return 0;
+  return extras ? found->second.extras.p85 : found->second.firsts.p85;
 }
 
 }  // namespace
@@ -32,13 +40,16 @@
   json services = json::object();
   for (const auto& [name, service] : r.pool.services) {
     json servers = json::array();
+    int connections = ConnectionsOf(r.pool, service, now);
     for (const server_ref& s : service.servers) {
-      servers.push_back(DumpServer(*s, now));
+      servers.push_back(DumpServer(*s, connections, now));
     }
     extra_window extra = service.extra;
-    services[name] = {{"servers", std::move(servers)},
-                      {"connections", ConnectionsOf(r.pool, service, now)},
-                      {"extra_left", ExtraLeft(&extra, r.pool.extra, now)}};
+    services[name] = {
+        {"servers", std::move(servers)},
+        {"connections", connections},
+        {"extra_left", ExtraLeft(&extra, r.pool.extra, now)},
+        {"extra_per_first", ExtraPerFirst(&extra, r.pool.extra, now)}};
   }
   json routes = json::array();
   if (table != nullptr) {
@@ -47,7 +58,9 @@
                         {"host", way.host},
                         {"prefix", way.prefix},
                         {"kind", NameOf(kRequestKindNames, way.kind)},
-                        {"shards", way.shards.size()}});
+                        {"shards", way.shards.size()},
+                        {"p85_us", P85Of(r, way, false)},
+                        {"p85_extra_us", P85Of(r, way, true)}});
     }
   }
   json all = {{"routes_version", table == nullptr ? 0 : table->version},
--- a/tray/testing/relay_test.cc
+++ b/tray/testing/relay_test.cc
@@ -190,6 +190,35 @@
   cr_assert_eq(PickServer(&h.r.pool, r, nullptr)->info.id, "s-a");
 }
 
+// Pattern: so many hosts that each may have one connection to a server.
+Test(servers, near_server_is_waited_for_when_its_only_connection_is_in_use) {
+  host h;
+  h.AddService("s", 1);
+  server_ref near = h.Server("s-a");
+  OnSent(near.get(), 1, h.now);
+  h.now += 8 * kMillisecond;
+  OnServed(near.get(), 1, nullptr, h.now);
+  OnSent(near.get(), 2, h.now);
+  pick_request r{.service = "s", .now = h.now};
+  cr_assert_eq(PickServer(&h.r.pool, r, nullptr)->info.id, "s-a");
+  // One waits already: another server is nearer in time.
+  OnSent(near.get(), 3, h.now);
+  cr_assert_neq(PickServer(&h.r.pool, r, nullptr)->info.id, "s-a");
+}
+
+// Pattern: a far server that is asked rarely looks fast as its mean is
+// forgotten.
+Test(servers, mean_is_forgotten_no_further_than_the_fastest_reply) {
+  host h;
+  h.AddService("s");
+  server_ref far = h.Server("s-b");
+  OnSent(far.get(), 1, h.now);
+  h.now += 27 * kMillisecond;
+  OnServed(far.get(), 1, nullptr, h.now);
+  h.now += 60 * kSecond;
+  cr_assert_geq(ExpectedTime(*far, 1, h.now), 27 * kMillisecond);
+}
+
 Test(servers, unreachable_server_is_held_longer_each_time) {
   host h;
   h.AddService("s");
@@ -403,6 +432,43 @@
   cr_assert_not(HasOpenAttempts(q));
 }
 
+// Serves `n` requests over the shards, each first attempt after `first` and
+// none asked twice; returns when the next one asks a second server.
+micros AskTimeAfter(host* h, int n, micros first) {
+  for (int i = 0; i < n; ++i) {
+    relay_query q = h->Query();
+    relay_actions sent = Start(h, &q);
+    h->now += first;
+    for (const relay_send& s : sent.sends) Reply(h, &q, s.attempt, Served());
+    cr_assert(q.finished);
+    h->now += 10 * kMillisecond;
+  }
+  relay_query q = h->Query();
+  Start(h, &q);
+  micros asked = q.parts[0].ask_at - q.start;
+  relay_actions ignored;
+  OnCallerGone(&h->r, &q, h->now, &ignored);
+  return asked;
+}
+
+// Pattern: a second server is far away and needs a new connection.
+Test(relay, second_server_is_asked_in_time_for_its_answer) {
+  host h;
+  for (const char* s : {"s", "t", "u"}) h.AddService(s);
+  h.AddRoute({"s", "t", "u"});
+  micros usual = AskTimeAfter(&h, 50, 20 * kMillisecond);
+  cr_assert_gt(usual, 25 * kMillisecond);
+  cr_assert_lt(usual, 40 * kMillisecond);
+  // Its answers take 100 of the 112 ms until the aim.
+  for (int i = 0; i < 50; ++i) {
+    AddLatency(&h.r.pool.latency["way"].extras, 100 * kMillisecond);
+  }
+  micros early = AskTimeAfter(&h, 1, 20 * kMillisecond);
+  cr_assert_lt(early, usual);
+  // No reply is early enough to be asked again before most have come.
+  cr_assert_gt(early, 15 * kMillisecond);
+}
+
 Test(relay, non_idempotent_request_is_sent_again_only_if_not_run) {
   for (reply_kind kind :
        {reply_kind::kRefused, reply_kind::kMisplaced, reply_kind::kNotSent,
@@ -452,7 +518,9 @@
   h.AddService("s", 1);
   h.AddRoute({"s"});
   for (const char* id : {"s-a", "s-b", "s-c"}) {
+    // One on the only connection, one that waits for it.
     OnSent(h.Server(id).get(), 1, h.now);
+    OnSent(h.Server(id).get(), 2, h.now);
   }
   relay_query q = h.Query();
   cr_assert(Start(&h, &q).sends.empty());
@@ -625,10 +693,11 @@
         size_t at = random() % open.size();
         uint64_t attempt = open[at];
         open.erase(open.begin() + static_cast<long>(at));
-        auto kind = static_cast<reply_kind>(random() % 7);
+        auto kind = static_cast<reply_kind>(random() % 8);
         bool proven = kind == reply_kind::kRefused ||
                       kind == reply_kind::kMisplaced ||
-                      kind == reply_kind::kNotSent;
+                      kind == reply_kind::kNotSent ||
+                      kind == reply_kind::kNoTurn;
         if (proven) --may_have_run[part_of[attempt]];
         if (!proven) ran = true;
         take(Reply(&h, &q, attempt,
--- a/tray/wire/backend_wire.cc
+++ b/tray/wire/backend_wire.cc
@@ -33,6 +33,7 @@
     case fetch_fault::kNone:
       break;
     case fetch_fault::kNotSent:
+    case fetch_fault::kNoTurn:
       return attempt_end::kNotSent;
     case fetch_fault::kBroken:
       return attempt_end::kBroken;
