Make connections to second choices of shards ahead of need

Ruled out: connections to all servers; 76 hosts with three servers a shard exceed the 70 connections that a server takes. Change: tray/relay/warm: each host keeps connections to two servers of each service in use, near ones first, then by rendezvous hashing, where that fits the servers' limit. tray/relayd/reach keeps them and the probes, which left relay_worker.cc. Six at a look, a look each 250 ms.

--- a/tray/http/relay_client.cc
+++ b/tray/http/relay_client.cc
@@ -64,6 +64,7 @@
   tcp::endpoint to;
   int most = relay_client::kDefaultConnections;
   int open = 0;  // connections, being made or made
+  int made = 0;  // of these
   micros max_idle = kMaxIdle;
   std::vector<connection_ref> idle;  // newest last
   std::deque<transfer_ref> waiting;
@@ -216,6 +217,11 @@
     if (pool* p = PoolOf(to)) p->most = std::max(1, connections);
   }
 
+  int Connections(const endpoint& to) {
+    pool* p = PoolOf(to);
+    return p == nullptr ? 0 : p->made;
+  }
+
   uint64_t Start(transfer_ref t) {
     t->id = next_id_++;
     t->start = SteadyNow();
@@ -317,6 +323,7 @@
       return End(t, fetch_fault::kNotSent);
     }
     c->made = true;
+    ++c->home->made;
     Read(c);
     if (t->probed) return EndProbe(c, t);
     if (!Send(c, t)) End(t, fetch_fault::kNotSent);
@@ -459,6 +466,7 @@
     c->socket.close(ignored);
     pool* p = c->home;
     --p->open;
+    if (c->made) --p->made;
     std::erase(p->idle, c);
     connections_.erase(c);
     // Not from here: the caller is in the middle of something.
@@ -539,6 +547,10 @@
   impl_->SetConnections(to, connections);
 }
 
+int relay_client::Connections(const endpoint& to) {
+  return impl_->Connections(to);
+}
+
 uint64_t relay_client::Start(relay_call call, fetch_callback done) {
   auto t = std::make_shared<transfer>();
   t->call = std::move(call);
--- a/tray/http/relay_client.h
+++ b/tray/http/relay_client.h
@@ -59,6 +59,9 @@
   // wait. Idle ones above a lowered bound are closed when next used.
   void SetConnections(const endpoint& to, int connections);
 
+  // Open connections to `to`.
+  int Connections(const endpoint& to);
+
   // Tries to make a connection, which is kept if the bound allows it. `done` is
   // called once, never from within Probe.
   void Probe(const endpoint& to, micros timeout,
--- a/tray/relay/relay.cc
+++ b/tray/relay/relay.cc
@@ -216,6 +216,7 @@
   relay_part& part = q->parts[index];
   relay_service& service = r->pool.services[part.service];
   if (part.attempts.empty()) CountFirst(&service.extra, r->pool.extra, now);
+  service.used_at = now;
   relay_attempt a{.id = r->next_attempt++, .server = to, .sent_at = now};
   OnSent(to.get(), a.id, now);
   actions->sends.push_back({.attempt = a.id,
--- a/tray/relay/servers.cc
+++ b/tray/relay/servers.cc
@@ -17,7 +17,7 @@
 // used if no other is left, as when the shards of an older version drain.
 constexpr micros kLastUsePart = 4;
 // Expected times of servers that were never measured, by distance. Replaced by
-// the first reply.
+// the first reply. Added once more where a connection has to be made first.
 constexpr micros kUnmeasured[] = {5 * kMillisecond, 8 * kMillisecond,
                                   30 * kMillisecond};
 // Added to a server of another region or data centre: bytes between them cost,
@@ -211,6 +211,9 @@
   double queue = static_cast<double>(s.open.size()) +
                  Decayed(s.others, now - s.others_at, kLoadHalfLife);
   double slots = std::max(1, s.info.slots);
+  if (!s.connected && s.open.empty()) {
+    base += static_cast<double>(kUnmeasured[static_cast<int>(s.away)]);
+  }
   double expected = base * (1 + std::max(0.0, queue + 1 - slots) / slots);
   double waiting = static_cast<double>(s.open.size()) + 1 - connections;
   if (waiting > 0) expected += base * waiting / connections;
@@ -276,6 +279,7 @@
   micros sent_at = Close(s, attempt);
   if (sent_at == 0) return;
   Alive(s);
+  s->connected = true;
   micros sample = now - sent_at;
   s->fastest = s->fastest == 0 ? sample : std::min(s->fastest, sample);
   if (s->typical == 0) {
@@ -308,6 +312,7 @@
   AddFault(s, now);
   Hold(s, now);
   s->unreachable = true;
+  s->connected = false;
 }
 
 std::vector<server_ref> TakeProbes(relay_pool* p, micros now) {
@@ -326,6 +331,7 @@
 
 void OnProbed(relay_server* s, bool connected, micros now) {
   s->probing = false;
+  s->connected = connected;
   if (!s->unreachable) return;
   if (connected) {
     Alive(s);
--- a/tray/relay/servers.h
+++ b/tray/relay/servers.h
@@ -91,6 +91,8 @@
   micros held_until = 0;     // silent or unreachable: not used before
   bool unreachable = false;  // not used until a probe makes a connection
   bool probing = false;      // a probe is under way
+  bool connected = false;    // had an open connection when last looked at
+  micros warm_after = 0;     // no connection is made ahead before
   int others = 0;            // requests of other hosts there, as last reported
   micros others_at = 0;
 };
@@ -106,10 +108,12 @@
   service_terms terms;
   std::vector<server_ref> servers;
   extra_window extra;
+  micros used_at = 0;  // last asked, or named by a new version
 };
 
 struct relay_pool {
   // Constant.
+  std::string host;  // this one's name
   std::string data_centre;
   std::string region;
   std::map<std::string, std::string> region_of;  // by data centre
--- /dev/null
+++ b/tray/relayd/reach.cc
@@ -0,0 +1,72 @@
+// Probes and connections ahead of need. See reach.h.
+
+#include "tray/relayd/reach.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "tray/base/clock.h"
+#include "tray/base/log.h"
+#include "tray/relay/warm.h"
+
+namespace baobabtray {
+namespace {
+
+// Half of the shortest hold of an unreachable server.
+constexpr micros kProbeLook = 100 * kMillisecond;
+// 24 connections a second, with kWarmupsPerLook: some dozen shards are
+// connected within two seconds of being named, and the host's processor stays
+// free.
+constexpr micros kWarmLook = 250 * kMillisecond;
+// As for a request's own connection (relay_worker.cc).
+constexpr micros kConnectTime = 250 * kMillisecond;
+
+}  // namespace
+
+void reach_keeper::Wake() {
+  micros now = SteadyNow();
+  micros at = now + (HasUnreachable(pool_) ? kProbeLook : kWarmLook);
+  if (next_look_ != 0 && next_look_ <= at) return;
+  next_look_ = at;
+  timer_.expires_at(
+      std::chrono::steady_clock::time_point(std::chrono::microseconds(at)));
+  timer_.async_wait([this](std::error_code error) {
+    if (error) return;
+    next_look_ = 0;
+    Look();
+  });
+}
+
+void reach_keeper::Look() {
+  micros now = SteadyNow();
+  ProbeUnreachable(now);
+  ConnectAhead(now);
+  if (HasUnreachable(pool_) || HasServicesInUse(pool_, now)) Wake();
+}
+
+void reach_keeper::ProbeUnreachable(micros now) {
+  for (const server_ref& s : TakeProbes(&pool_, now)) {
+    client_.Probe(s->info.address, kConnectTime, [s](bool connected) {
+      OnProbed(s.get(), connected, SteadyNow());
+      if (!connected) return;
+      Log(log_level::kInfo, "server_reachable",
+          {{"server", s->info.id}, {"service", s->info.service}});
+    });
+  }
+}
+
+void reach_keeper::ConnectAhead(micros now) {
+  NoteConnections(
+      &pool_,
+      [this](const endpoint& to) { return client_.Connections(to) > 0; }, now);
+  for (const server_ref& s : TakeWarmups(&pool_, now)) {
+    // The bound on connections as for a request.
+    relay_service& service = pool_.services[s->info.service];
+    client_.SetConnections(s->info.address, ConnectionsOf(pool_, service, now));
+    client_.Probe(s->info.address, kConnectTime, [s](bool connected) {
+      OnProbed(s.get(), connected, SteadyNow());
+    });
+  }
+}
+
+}  // namespace baobabtray
--- a/tray/relayd/relay_worker.cc
+++ b/tray/relayd/relay_worker.cc
@@ -21,6 +21,8 @@
 #include "tray/base/log.h"
 #include "tray/base/strings.h"
 #include "tray/relay/merge.h"
+#include "tray/relay/warm.h"
+#include "tray/relayd/reach.h"
 #include "tray/relayd/relay_dump.h"
 
 namespace baobabtray {
@@ -29,9 +31,6 @@
 // A connection that is not made by then is given up as not sent: three times
 // the longest way between regions, and a server's handshake.
 constexpr micros kConnectTime = 250 * kMillisecond;
-// Servers that can't be reached are looked at this often; each one's own pauses
-// are longer.
-constexpr auto kProbeTick = std::chrono::milliseconds(100);
 // When a refused caller should come back. Another host or server will mostly
 // do, so soon; spread, so that callers do not return together.
 constexpr micros kComeBackSoon = 60 * kMillisecond;
@@ -86,10 +85,11 @@
         work_(asio::make_work_guard(loop_)),
         http_(loop_),
         alarm_(loop_, [this] { RunTimers(); }),
-        probe_timer_(loop_),
+        reach_(loop_, &http_, &state_.pool),
         early_timer_(loop_) {
     state_.random.seed(std::random_device{}());
     relay_pool& p = state_.pool;
+    p.host = own.name;
     p.data_centre = own.data_centre;
     p.region = own.region;
     for (const region_member& at : own.relay.places) {
@@ -146,6 +146,7 @@
     counters_.SetServers(static_cast<int>(state_.pool.by_id.size()),
                          state_.pool.hosts);
     LogReadiness();
+    reach_.Wake();
     if (table_ != nullptr && !early_.empty()) ServeEarly();
   }
 
@@ -154,10 +155,11 @@
 
   void Learn(const no_fact&, micros) {}
 
-  void Learn(const routes_fact& f, micros) {
+  void Learn(const routes_fact& f, micros now) {
     if (table_ != nullptr && f.table->version <= table_->version) return;
     table_ = f.table;
     SetTerms(&state_.pool, table_->services);
+    NoteShards(&state_.pool, *table_, now);
     counters_.SetRoutes(table_->version,
                         static_cast<int>(table_->routes.size()));
     Log(log_level::kInfo, "routes_in_force",
@@ -317,6 +319,7 @@
     Step(id, [&](relay_query* query, relay_actions* actions) {
       StartRelay(&state_, query, now, actions);
     });
+    reach_.Wake();
   }
 
   // The caller's connection has closed: its requests are given up.
@@ -381,31 +384,7 @@
     Step(id, [&](relay_query* q, relay_actions* actions) {
       OnRelayReply(&state_, q, attempt, reply, SteadyNow(), actions);
     });
-    if (reply.kind == reply_kind::kNotSent) ArmProbes();
-  }
-
-  // Looks for servers to probe while there are any that can't be reached.
-  void ArmProbes() {
-    if (probes_armed_ || !HasUnreachable(state_.pool)) return;
-    probes_armed_ = true;
-    probe_timer_.expires_after(kProbeTick);
-    probe_timer_.async_wait([this](std::error_code error) {
-      probes_armed_ = false;
-      if (error) return;
-      for (const server_ref& s : TakeProbes(&state_.pool, SteadyNow())) {
-        Probe(s);
-      }
-      ArmProbes();
-    });
-  }
-
-  void Probe(const server_ref& s) {
-    http_.Probe(s->info.address, kConnectTime, [this, s](bool connected) {
-      OnProbed(s.get(), connected, SteadyNow());
-      if (!connected) return;
-      Log(log_level::kInfo, "server_reachable",
-          {{"server", s->info.id}, {"service", s->info.service}});
-    });
+    if (reply.kind == reply_kind::kNotSent) reach_.Wake();
   }
 
   void Cancel(uint64_t attempt) {
@@ -609,14 +588,13 @@
   asio::executor_work_guard<asio::io_context::executor_type> work_;
   relay_client http_;
   alarm_clock alarm_;
-  asio::steady_timer probe_timer_;
-  bool probes_armed_ = false;
+  relay_state state_;
+  reach_keeper reach_;
   asio::steady_timer early_timer_;
   std::vector<early_request> early_;  // came before the routes
   const micros started_at_ = SteadyNow();
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> ready_;
-  relay_state state_;
   std::shared_ptr<const route_table> table_;
   std::set<std::string> hosts_;  // live ones
   int recorded_hosts_ = 0;
--- a/tray/testing/relay_test.cc
+++ b/tray/testing/relay_test.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "tray/relay/merge.h"
+#include "tray/relay/warm.h"
 
 using namespace baobabtray;  // NOLINT: test file
 
@@ -219,6 +220,102 @@
   cr_assert_geq(ExpectedTime(*far, 1, h.now), 27 * kMillisecond);
 }
 
+// ---- Connections ahead of need ---------------------------------------------
+
+// Looks until nothing is left to be connected; returns who was.
+std::vector<std::string> Warm(host* h, bool reachable = true) {
+  std::vector<std::string> ids;
+  for (int look = 0; look < 20; ++look) {
+    for (const server_ref& s : TakeWarmups(&h->r.pool, h->now)) {
+      ids.push_back(s->info.id);
+      OnProbed(s.get(), reachable, h->now);
+    }
+  }
+  return ids;
+}
+
+// Pattern: the near server of a shard pauses, the next is a region away.
+Test(warm, near_server_and_one_far_one_are_connected) {
+  std::map<std::string, int> far;
+  for (int i = 0; i < 40; ++i) {
+    host h;
+    h.r.pool.host = "host-" + std::to_string(i);
+    h.AddService("s");
+    h.AddRoute({"s", "t"});
+    cr_assert(Warm(&h).empty(), "not in use yet");
+    NoteShards(&h.r.pool, *h.table, h.now);
+    std::vector<std::string> ids = Warm(&h);
+    cr_assert_eq(ids.size(), 2u);
+    cr_assert_eq(ids[0], "s-a");
+    ++far[ids[1]];
+    // The one that is connected is the next to be asked.
+    OnSent(h.Server("s-a").get(), 1, h.now);
+    std::vector<std::string> asked = {"s-a"};
+    pick_request r{.service = "s", .asked = &asked, .now = h.now};
+    cr_assert_eq(PickServer(&h.r.pool, r, nullptr)->info.id, ids[1]);
+  }
+  // Hosts divide themselves over the far servers.
+  cr_assert_geq(far["s-b"], 10);
+  cr_assert_geq(far["s-c"], 10);
+}
+
+Test(warm, no_more_than_fits_the_servers_limits) {
+  host h;
+  h.AddService("s", 20);
+  h.AddRoute({"s", "t"});
+  NoteShards(&h.r.pool, *h.table, h.now);
+  SetHosts(&h.r.pool, 25, 0);
+  cr_assert(Warm(&h).empty());
+  SetHosts(&h.r.pool, 24, 0);
+  cr_assert_eq(Warm(&h).size(), 2u);
+}
+
+Test(warm, lost_connections_are_made_again_but_not_at_once) {
+  host h;
+  h.AddService("s");
+  h.AddRoute({"s", "t"});
+  NoteShards(&h.r.pool, *h.table, h.now);
+  cr_assert_eq(Warm(&h, false).size(), 3u, "each server once");
+  cr_assert(Warm(&h).empty());
+  h.now += 3 * kSecond;
+  cr_assert_eq(Warm(&h).size(), 2u);
+  NoteConnections(
+      &h.r.pool, [](const endpoint&) { return false; }, h.now);
+  h.now += 3 * kSecond;
+  cr_assert_eq(Warm(&h).size(), 2u);
+  // Not used for long: nobody keeps its connections.
+  NoteConnections(
+      &h.r.pool, [](const endpoint&) { return false; }, h.now);
+  h.now += 60 * kSecond;
+  cr_assert(Warm(&h).empty());
+}
+
+Test(warm, servers_that_leave_or_are_out_of_service_are_not_connected) {
+  host h;
+  h.AddService("s");
+  h.AddRoute({"s", "t"});
+  NoteShards(&h.r.pool, *h.table, h.now);
+  registered_server leaving = Entry("s-a", "s", "a");
+  leaving.leaving = true;
+  PutServer(&h.r.pool, leaving, h.now);
+  h.r.pool.out_of_service = {"b"};
+  std::vector<std::string> ids = Warm(&h);
+  cr_assert_eq(ids.size(), 1u);
+  cr_assert_eq(ids[0], "s-c");
+}
+
+Test(warm, a_look_makes_few_connections) {
+  host h;
+  std::vector<std::string> names;
+  for (int i = 0; i < 30; ++i) {
+    names.push_back("s" + std::to_string(i));
+    h.AddService(names.back());
+  }
+  h.AddRoute(names);
+  NoteShards(&h.r.pool, *h.table, h.now);
+  cr_assert_eq(TakeWarmups(&h.r.pool, h.now).size(), kWarmupsPerLook);
+}
+
 Test(servers, unreachable_server_is_held_longer_each_time) {
   host h;
   h.AddService("s");
@@ -694,10 +791,9 @@
         uint64_t attempt = open[at];
         open.erase(open.begin() + static_cast<long>(at));
         auto kind = static_cast<reply_kind>(random() % 8);
-        bool proven = kind == reply_kind::kRefused ||
-                      kind == reply_kind::kMisplaced ||
-                      kind == reply_kind::kNotSent ||
-                      kind == reply_kind::kNoTurn;
+        bool proven =
+            kind == reply_kind::kRefused || kind == reply_kind::kMisplaced ||
+            kind == reply_kind::kNotSent || kind == reply_kind::kNoTurn;
         if (proven) --may_have_run[part_of[attempt]];
         if (!proven) ran = true;
         take(Reply(&h, &q, attempt,
