Answer an eighth of the aim early; late parts may use the room kept for needed ones

And 27 of 38 parts that were missing had not been asked again: the room for extra requests that could be done without was used up, though with two of 36 parts late the answer was late too. Ruled out: measuring the caller's distance; the kernel's estimate is no part of what the platform promises. Change: AnswerMargin, an eighth of the aim, at least 8 ms. A part is needed if too few others have an answer or an attempt that is not late yet. Test: late_part_without_which_too_few_are_in_is_needed.

--- a/tray/relay/relay.cc
+++ b/tray/relay/relay.cc
@@ -18,9 +18,13 @@
 // yet, so that a second server's answer can still be on time. The rest is for
 // failures.
 constexpr double kEarlyPart = 0.6;
+// The part of an aim that AnswerMargin keeps, and the least: two round trips of
+// a caller that is some ms away, and a few ms of work.
+constexpr micros kMarginPart = 8;
+constexpr micros kLeastMargin = 8 * kMillisecond;
 // Part of the bound on extra requests that is kept for parts without which a
-// request would fail: leaving out one part of ten costs its caller a fifth of
-// the answer, leaving out too many costs all of it.
+// request would fail or be late: leaving out one part of ten costs its caller a
+// fifth of the answer, leaving out too many costs all of it.
 constexpr double kKeptForNeeded = 0.35;
 // A refused request to one server waits for room in the bound for this part of
 // its aim, after which its caller does better to come back.
@@ -174,7 +178,7 @@
   auto latest = static_cast<micros>(aim * kLatestAsk);
   const latency_track& extras = found->second.extras;
   if (extras.p85 != 0) {
-    latest = static_cast<micros>(aim) - kAnswerMargin - extras.p85;
+    latest = static_cast<micros>(aim) - AnswerMargin(way.aim) - extras.p85;
   }
   if (late <= latest) return late;
   double spare = ExtraPerFirst(&service->extra, r->pool.extra, now);
@@ -241,11 +245,13 @@
   part.ask_at = now + kLookAgain;
 }
 
-// True if the request would fail without this part.
-bool IsNeeded(const relay_query& q, const relay_part& part) {
+// True if the request can't be answered at its aim without this part: too few
+// others have an answer, or an attempt under way that is not late yet.
+bool IsNeeded(const relay_query& q, const relay_part& part, micros now) {
   auto others =
       std::count_if(q.parts.begin(), q.parts.end(), [&](const relay_part& p) {
-        return &p != &part && (p.answer != nullptr || HasOpen(p));
+        bool late = p.ask_at != 0 && p.ask_at <= now;
+        return &p != &part && (p.answer != nullptr || (HasOpen(p) && !late));
       });
   return others < LeastParts(q);
 }
@@ -286,7 +292,7 @@
   }
   if (Arrived(part) &&
       !SpendExtra(&r->pool.services[part.service].extra, r->pool.extra, now,
-                  IsNeeded(*q, part) ? 0 : kKeptForNeeded)) {
+                  IsNeeded(*q, part, now) ? 0 : kKeptForNeeded)) {
     if (!open && now >= LastLook(*q)) return GiveUp(&part);
     part.ask_at = now + kLookAgain;
     return;
@@ -352,6 +358,10 @@
 
 }  // namespace
 
+micros AnswerMargin(micros aim) {
+  return std::max(kLeastMargin, aim / kMarginPart);
+}
+
 bool HasOpenAttempts(const relay_query& q) {
   return std::any_of(q.parts.begin(), q.parts.end(), HasOpen);
 }
--- a/tray/relay/relay.h
+++ b/tray/relay/relay.h
@@ -162,8 +162,9 @@
   std::unordered_map<std::string, std::vector<double>> turns;
 };
 
-// Time kept for the answer's way to the caller, of the time until the aim.
-constexpr micros kAnswerMargin = 8 * kMillisecond;
+// Time kept of a route's aim for what the host does not see: the caller's
+// connection being made, the ways there and back, and its own lateness.
+micros AnswerMargin(micros aim);
 
 void StartRelay(relay_state* r, relay_query* q, micros now,
                 relay_actions* actions);
--- a/tray/relayd/relay_worker.cc
+++ b/tray/relayd/relay_worker.cc
@@ -308,7 +308,7 @@
     q.way = way;
     q.start = now;
     q.deadline = now + std::max<micros>(patience - kDeadlineMargin, 1);
-    q.aim_at = std::min(q.deadline, now + way->aim - kAnswerMargin);
+    q.aim_at = std::min(q.deadline, now + way->aim - AnswerMargin(way->aim));
     live->request = std::move(request);
     live->respond = std::move(respond);
     live->connection = connection;
@@ -562,7 +562,7 @@
   void LogEnd(const live_request& live) {
     const relay_query& q = live.q;
     bool usual = q.outcome == relay_outcome::kAnswered &&
-                 q.finished_at <= q.aim_at + kAnswerMargin;
+                 q.finished_at <= q.start + q.way->aim;
     log_level level = usual ? log_level::kDebug : log_level::kInfo;
     if (q.outcome == relay_outcome::kNotRun ||
         q.outcome == relay_outcome::kBroken ||
--- a/tray/testing/relay_test.cc
+++ b/tray/testing/relay_test.cc
@@ -79,7 +79,7 @@
             .table = table,
             .way = way,
             .start = now,
-            .aim_at = now + way->aim - kAnswerMargin,
+            .aim_at = now + way->aim - AnswerMargin(way->aim),
             .deadline = now + way->time_limit};
   }
 
@@ -732,6 +732,25 @@
   cr_assert_leq(h.now, q.deadline);
 }
 
+// Pattern: two near servers pause at once, and one part may be left out. The
+// room kept for needed parts goes to one of them.
+Test(gather, late_part_without_which_too_few_are_in_is_needed) {
+  host h;
+  for (const char* s : {"s", "t", "u"}) h.AddService(s);
+  h.AddRoute({"s", "t", "u"});
+  relay_query q = h.Query();
+  relay_actions a = Start(&h, &q);
+  Reply(&h, &q, a.sends[0].attempt, Served());
+  // Room for a needed request, not for one that could be done without.
+  h.r.pool.extra = {.ratio = 0, .floor = 1.3, .window = 10 * kSecond};
+  relay_actions more = RunTimer(&h, &q);
+  cr_assert_eq(more.sends.size(), 1u);
+  Reply(&h, &q, more.sends[0].attempt, Served());
+  while (!q.finished) cr_assert(RunTimer(&h, &q).sends.empty());
+  cr_assert_eq(q.outcome, relay_outcome::kPartial);
+  cr_assert_lt(q.finished_at - q.start, q.way->aim - 14 * kMillisecond);
+}
+
 Test(extra, a_part_of_the_bound_is_kept_for_needed_requests) {
   extra_bounds b{.ratio = 0, .floor = 20, .window = 10 * kSecond};
   extra_window w;
