One host of a data centre follows the store for the others

Change: hosts announce their address and data centre. In a data centre of four or more, one host in 32 (by hash, from the live hosts) watches the store and keeps the newest change of each key; the others ask it and are answered at the next change or after a second. A follower goes to the store itself for 5 s if the hub does not answer, or has not heard from the store for 1.5 s. Values over 16 KB are read from the store by key.

--- a/tray/relay/ports.h
+++ b/tray/relay/ports.h
@@ -131,8 +131,14 @@
   std::string data_centre;
   bool out = true;
 };
-struct host_fact {
+// A host of this tier, as it announces itself.
+struct host_entry {
   std::string name;
+  std::string data_centre;
+  endpoint peers;  // where other hosts reach it; port 0: not said
+};
+struct host_fact {
+  host_entry host;  // the name alone unless live
   bool live = true;
 };
 // How many hosts there have lately been at once.
@@ -164,8 +170,12 @@
   std::function<void(uint64_t lease, std::function<void(store_end)> done)>
       renew_lease;
   std::function<void(uint64_t lease)> end_lease;
+  // The item of one key.
+  std::function<void(const std::string& key,
+                     std::function<void(stored_items)> done)>
+      read;
   // Announces this host for as long as the lease lives.
-  std::function<void(const std::string& name, uint64_t lease,
+  std::function<void(const host_entry& host, uint64_t lease,
                      std::function<void(store_end)> done)>
       announce_host;
   // Records the size of the fleet, for hosts that start later.
--- a/tray/relayd/directory.cc
+++ b/tray/relayd/directory.cc
@@ -9,6 +9,7 @@
 
 #include "tray/base/clock.h"
 #include "tray/base/log.h"
+#include "tray/base/strings.h"
 
 namespace baobabtray {
 namespace {
@@ -32,6 +33,17 @@
 constexpr micros kLeaseTime = 9 * kSecond;
 constexpr micros kRenewPeriod = kLeaseTime / 3;
 
+// A question to a hub is answered after this at the latest.
+constexpr micros kFeedWait = 1 * kSecond;
+// A hub that has not heard from the store for longer is left. With kFeedWait,
+// and a call to the store, a change is then known within the shortest bound, 3
+// s.
+constexpr micros kMaxFeedAge = 1500 * kMillisecond;
+// A hub renews its lease this often while it is asked: half of kMaxFeedAge.
+constexpr micros kHubRenewPeriod = 750 * kMillisecond;
+// How long a host that has left its hub follows the store itself.
+constexpr micros kDirectTime = 5 * kSecond;
+
 // The record of the fleet's size follows a raise after this, so that hosts that
 // start together cost one write, and a drop only after a common failure would
 // have passed.
@@ -41,12 +53,17 @@
 }  // namespace
 
 directory::directory(asio::io_context& loop, directory_store store,
-                     std::string name, deliver_facts deliver)
+                     fetcher* http, host_entry own, deliver_facts deliver)
     : loop_(loop),
       store_(std::move(store)),
-      name_(std::move(name)),
+      http_(*http),
+      own_(std::move(own)),
       deliver_(std::move(deliver)),
-      random_(std::random_device{}()) {}
+      random_(std::random_device{}()),
+      feed_(loop, {.log = [this]() -> const change_log* {
+                     return hub_.empty() && failures_ == 0 ? &log_ : nullptr;
+                   },
+                   .age = [this] { return SteadyNow() - last_contact_; }}) {}
 
 void directory::Start() {
   Load();
@@ -87,7 +104,9 @@
     Log(log_level::kWarning, "store_lost",
         {{"problem", problem}, {"revision", std::to_string(revision_)}});
   }
-  After(Backoff(failures_++), std::move(again));
+  ++failures_;
+  feed_.Changed();  // followers must not wait for this host
+  After(Backoff(failures_ - 1), std::move(again));
 }
 
 void directory::Load() {
@@ -129,12 +148,87 @@
       {{"revision", std::to_string(listing_revision_)},
        {"items", std::to_string(listing_.size())}});
   listing_.clear();
-  Take(std::move(items));
-  revision_ = std::max(revision_, listing_revision_);
+  log_.Reset(listing_revision_);
+  Learn(std::move(items), listing_revision_);
   Watch();
 }
 
 void directory::Watch() {
+  micros now = SteadyNow();
+  const host_entry* hub = HubOf(hosts_, own_);
+  if (hub == nullptr || leaving_ || failures_ > 0 || now < direct_until_) {
+    return WatchStore();
+  }
+  WatchHub(*hub);
+}
+
+void directory::WatchHub(const host_entry& hub) {
+  SetHub(hub.name);
+  ReadFeed(&http_, hub.peers, revision_, kFeedWait,
+           [this, name = hub.name](absl::StatusOr<feed_batch> batch) {
+             if (absl::IsFailedPrecondition(batch.status())) {
+               // Not a hub yet, or its log is too short: one look at the store
+               // brings both to where they agree.
+               return WatchStore();
+             }
+             if (!batch.ok()) {
+               return LeaveHub(name, MessageOf(batch.status()));
+             }
+             if (batch->age > kMaxFeedAge) {
+               return LeaveHub(name, "it has lost the store");
+             }
+             TakeFeed(name, *std::move(batch));
+           });
+}
+
+void directory::TakeFeed(const std::string& hub, feed_batch batch) {
+  if (!batch.large.empty()) return TakeLarge(hub, std::move(batch));
+  last_contact_ = SteadyNow() - batch.age;
+  Learn(std::move(batch.items), batch.revision);
+  Watch();
+}
+
+// Reads a value that the hub left out from the store, then goes on.
+void directory::TakeLarge(const std::string& hub, feed_batch batch) {
+  std::string key = std::move(batch.large.back());
+  batch.large.pop_back();
+  store_.read(key, [this, hub, batch = std::move(batch)](stored_items got) {
+    if (got.end != store_end::kOk) return LeaveHub(hub, got.problem);
+    feed_batch rest = batch;
+    for (stored_item& item : got.items) rest.items.push_back(std::move(item));
+    TakeFeed(hub, std::move(rest));
+  });
+}
+
+void directory::LeaveHub(const std::string& hub, std::string_view problem) {
+  Log(log_level::kInfo, "hub_left",
+      {{"hub", hub},
+       {"problem", std::string(problem)},
+       {"revision", std::to_string(revision_)}});
+  direct_until_ = SteadyNow() + kDirectTime;
+  WatchStore();
+}
+
+// Whom this host follows; "" is the store.
+void directory::SetHub(const std::string& hub) {
+  if (hub == hub_) return;
+  hub_ = hub;
+  // The log goes on from here if the store is followed again.
+  log_.Reset(revision_);
+  feed_.Changed();
+  Log(log_level::kInfo, "following",
+      {{"hub", hub}, {"revision", std::to_string(revision_)}});
+}
+
+void directory::Learn(std::vector<stored_item> items, uint64_t revision) {
+  log_.Append(items, revision);
+  Take(std::move(items));
+  revision_ = std::max(revision_, revision);
+  feed_.Changed();
+}
+
+void directory::WatchStore() {
+  SetHub("");
   micros wait = failures_ == 0 ? kWatchTime : kTroubledWatchTime;
   store_.watch(revision_, wait, [this](stored_items changes) {
     if (changes.end == store_end::kForgotten) {
@@ -147,8 +241,7 @@
     }
     Contact();
     bool any = !changes.items.empty();
-    Take(std::move(changes.items));
-    revision_ = std::max(revision_, changes.revision);
+    Learn(std::move(changes.items), changes.revision);
     if (any) return After(kBatchTime, [this] { Watch(); });
     Watch();
   });
@@ -176,11 +269,12 @@
     }
     if (const auto* host = std::get_if<host_fact>(&fact)) {
       // Taken away by the store: announced again.
-      if (host->name == name_ && !host->live && !leaving_) OpenLease();
+      const std::string& name = host->host.name;
+      if (name == own_.name && !host->live && !leaving_) OpenLease();
       if (host->live) {
-        hosts_.insert(host->name);
+        hosts_[name] = host->host;
       } else {
-        hosts_.erase(host->name);
+        hosts_.erase(name);
       }
     }
     if (const auto* size = std::get_if<fleet_size_fact>(&fact)) {
@@ -200,7 +294,8 @@
   After(wait, [this, live] {
     reviewing_ = false;
     int now = static_cast<int>(hosts_.size());
-    bool mine = !hosts_.empty() && *hosts_.begin() == name_ && !leaving_;
+    bool mine =
+        !hosts_.empty() && hosts_.begin()->first == own_.name && !leaving_;
     bool lowers = now < recorded_hosts_;
     if (now == recorded_hosts_) return;
     // A drop counts only if the number has not changed since it was seen.
@@ -228,7 +323,7 @@
 
 void directory::Announce() {
   uint64_t lease = lease_;
-  store_.announce_host(name_, lease, [this, lease](store_end end) {
+  store_.announce_host(own_, lease, [this, lease](store_end end) {
     if (leaving_ || lease != lease_) return;
     if (end == store_end::kOk) {
       lease_failures_ = 0;
@@ -250,8 +345,11 @@
   store_.renew_lease(lease, [this, lease](store_end end) {
     if (leaving_ || lease != lease_) return;
     if (end == store_end::kMissing) return OpenLease();
-    micros next =
-        end == store_end::kOk ? kRenewPeriod : Backoff(++lease_failures_);
+    bool ok = end == store_end::kOk;
+    if (ok && hub_.empty()) last_contact_ = SteadyNow();
+    bool asked = hub_.empty() && feed_.IsAsked(SteadyNow());
+    micros period = asked ? kHubRenewPeriod : kRenewPeriod;
+    micros next = ok ? period : Backoff(++lease_failures_);
     After(next, [this, lease] {
       if (lease == lease_) Renew();
     });
--- a/tray/relayd/directory.h
+++ b/tray/relayd/directory.h
@@ -1,5 +1,9 @@
 // Follows the store on the control thread: one listing, then one watch over all
-// keys, in the store's own order.
+// keys, in the store's own order. In a data centre of some hosts one of them,
+// the hub, watches the store and the others ask it (change_log.h, feed.h). A
+// host whose hub does not answer, or has not heard from the store for
+// kMaxFeedAge, watches the store itself for kDirectTime, so that nothing is
+// learned later than a second or two after it would have been from the store.
 //
 // What the items say is delivered in batches; nothing is taken back when the
 // store is away. After lost history everything is listed anew, and what is no
@@ -10,7 +14,10 @@
 // name sorts first: raised soon, lowered only when it has long been smaller.
 //
 // Cost: a watch is answered once per kWatchTime, or per kBatchTime while there
-// are changes; a renewal each third of kLeaseTime. Memory: the keys.
+// are changes; a renewal each third of kLeaseTime, and each kHubRenewPeriod at
+// a hub, whose renewals show its followers that it is in contact. A follower's
+// question to its hub is answered once per kFeedWait or at a change. Memory:
+// the keys, and the log of a hub.
 
 #ifndef TRAY_RELAYD_DIRECTORY_H_
 #define TRAY_RELAYD_DIRECTORY_H_
@@ -19,12 +26,13 @@
 #include <functional>
 #include <map>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "tray/base/time.h"
 #include "tray/relay/ports.h"
+#include "tray/relayd/change_log.h"
+#include "tray/relayd/feed.h"
 
 namespace baobabtray {
 
@@ -32,24 +40,38 @@
  public:
   using deliver_facts = std::function<void(std::vector<store_fact> facts)>;
 
-  directory(asio::io_context& loop, directory_store store, std::string name,
-            deliver_facts deliver);
+  // `http` carries the questions to a hub; must outlive the directory.
+  directory(asio::io_context& loop, directory_store store, fetcher* http,
+            host_entry own, deliver_facts deliver);
 
   void Start();
   // Withdraws this host's announcement.
   void Leave();
+  // Answers another host's question for changes.
+  void HandleFeed(const http_request& r, const responder& respond) {
+    feed_.Handle(r, respond);
+  }
 
   // For the state dump.
   uint64_t revision() const { return revision_; }
   size_t keys() const { return known_.size(); }
   bool in_contact() const { return failures_ == 0 && revision_ != 0; }
   micros last_contact() const { return last_contact_; }
+  // Name of the hub that is followed, or "" if the store itself is.
+  const std::string& hub() const { return hub_; }
 
  private:
   void Load();
   void LoadPage(const std::string& after);
   void Loaded();
   void Watch();
+  void WatchStore();
+  void WatchHub(const host_entry& hub);
+  void TakeFeed(const std::string& hub, feed_batch batch);
+  void TakeLarge(const std::string& hub, feed_batch batch);
+  void LeaveHub(const std::string& hub, std::string_view problem);
+  void SetHub(const std::string& hub);
+  void Learn(std::vector<stored_item> items, uint64_t revision);
   void Take(std::vector<stored_item> items);
   void Retry(const std::string& problem, std::function<void()> again);
   void Contact();
@@ -62,7 +84,8 @@
 
   asio::io_context& loop_;
   directory_store store_;
-  std::string name_;
+  fetcher& http_;
+  const host_entry own_;
   deliver_facts deliver_;
   std::mt19937_64 random_;
   uint64_t revision_ = 0;                       // changes up to here are known
@@ -73,7 +96,11 @@
   micros last_contact_ = 0;
   uint64_t lease_ = 0;
   int lease_failures_ = 0;
-  std::set<std::string> hosts_;  // live ones
+  std::map<std::string, host_entry> hosts_;  // live ones
+  std::string hub_;
+  micros direct_until_ = 0;  // no hub is followed before
+  change_log log_;           // kept while the store itself is followed
+  feed_server feed_;
   int recorded_hosts_ = 0;
   bool reviewing_ = false;  // a review of the record is due
   bool leaving_ = false;
--- a/tray/relayd/relay_host.cc
+++ b/tray/relayd/relay_host.cc
@@ -47,7 +47,10 @@
                                 [this](std::string_view call, store_end end) {
                                   counters_.CountStoreCall(call, end);
                                 }),
-            options_.own.name,
+            &http_,
+            {.name = options_.own.name,
+             .data_centre = options_.own.data_centre,
+             .peers = options_.own.peers},
             [this](std::vector<store_fact> facts) {
               worker_.PostFacts(std::move(facts));
             }),
@@ -62,6 +65,13 @@
         });
     if (!admin.ok()) return admin.status();
     admin_ = *std::move(admin);
+    auto peers = http_server::Start(
+        loop_, {.listen = options_.own.peers},
+        [this](const http_request& r, const responder& respond) {
+          directory_.HandleFeed(r, respond);
+        });
+    if (!peers.ok()) return peers.status();
+    peers_ = *std::move(peers);
     return worker_.Listen();
   }
 
@@ -88,10 +98,12 @@
     if (r.path == "/store") {
       return respond(
           {.body = fmt::format(
-               R"({{"revision":{},"keys":{},"in_contact":{},"age_ms":{}}})",
+               R"({{"revision":{},"keys":{},"in_contact":{},"age_ms":{},)"
+               R"("hub":"{}"}})",
                directory_.revision(), directory_.keys(),
                directory_.in_contact(),
-               (SteadyNow() - directory_.last_contact()) / kMillisecond)});
+               (SteadyNow() - directory_.last_contact()) / kMillisecond,
+               directory_.hub())});
     }
     respond({.status = 404,
              .body = R"({"error":"try /metrics, /state or /store"})"});
@@ -170,6 +182,7 @@
   asio::signal_set stop_signals_;
   asio::signal_set reload_signals_;
   std::unique_ptr<http_server> admin_;
+  std::unique_ptr<http_server> peers_;
   micros stopping_at_ = 0;
   bool closed_ = false;
 };
--- a/tray/relayd/relay_worker.cc
+++ b/tray/relayd/relay_worker.cc
@@ -195,9 +195,9 @@
 
   void Learn(const host_fact& f, micros) {
     if (f.live) {
-      hosts_.insert(f.name);
+      hosts_.insert(f.host.name);
     } else {
-      hosts_.erase(f.name);
+      hosts_.erase(f.host.name);
     }
     CountHosts();
   }
--- a/tray/standin/platform_store.cc
+++ b/tray/standin/platform_store.cc
@@ -95,6 +95,14 @@
   ++calls_[r.path.substr(0, r.path.find('/', 3))];
   constexpr std::string_view kKeep = "/-/kv-keep/", kEnd = "/-/kv-lease-end/";
   if (r.path == "/-/kv-range") return Range(c, r);
+  if (r.path == "/-/kv-key") {
+    auto found = items_.find(r.Field("key"));
+    if (found == items_.end()) return c->Reply(404, kJson, "{}");
+    const item& i = found->second;
+    json row = Row(found->first, i.value, i.revision, i.created, i.lease);
+    row["current_rev"] = revision_;
+    return c->Reply(200, kJson, row.dump());
+  }
   if (r.path == "/-/kv-watch") return Watch(c, r);
   if (r.path == "/-/kv-txn") return Transact(c, r);
   if (r.path == "/-/kv-lease") return OpenLease(c, r);
--- a/tray/testing/platform_test.cc
+++ b/tray/testing/platform_test.cc
@@ -364,7 +364,7 @@
   });
   w.Until(done);
   done = false;
-  w.client.announce_host("h1", lease, [&](store_end end) {
+  w.client.announce_host({.name = "h1"}, lease, [&](store_end end) {
     cr_assert_eq(end, store_end::kOk);
     done = true;
   });
--- a/tray/testing/relayd_test.cc
+++ b/tray/testing/relayd_test.cc
@@ -50,7 +50,7 @@
         follower(loop,
                  platform::OpenStore(&http, {kHost, port},
                                      [](std::string_view, store_end) {}),
-                 "me", [this](std::vector<store_fact> batch) {
+                 &http, {.name = "me"}, [this](std::vector<store_fact> batch) {
                    for (store_fact& f : batch) facts.push_back(std::move(f));
                  }) {
     store.Listen();
