Hubs' followers need no listing after lost history; longer leases, larger values

And each change of the configuration (over 16 KB) was read by key by 70 hosts. Change: a listing after lost history is appended to the log as the changes that it shows; values up to 64 KB go over the feed; leases of 15 s (renewed each 5 s) rather than 9 s. Tests: dropped_history_costs_one_listing.

--- a/tray/relayd/directory.cc
+++ b/tray/relayd/directory.cc
@@ -30,7 +30,7 @@
 constexpr int kMaxDoublings = 3;
 // A host that has died counts as live for this long. Shares of connections and
 // budgets are too small meanwhile, which harms nobody.
-constexpr micros kLeaseTime = 9 * kSecond;
+constexpr micros kLeaseTime = 15 * kSecond;
 constexpr micros kRenewPeriod = kLeaseTime / 3;
 
 // A question to a hub is answered after this at the latest.
@@ -148,7 +148,7 @@
       {{"revision", std::to_string(listing_revision_)},
        {"items", std::to_string(listing_.size())}});
   listing_.clear();
-  log_.Reset(listing_revision_);
+  if (revision_ == 0) log_.Reset(listing_revision_);
   Learn(std::move(items), listing_revision_);
   Watch();
 }
@@ -221,7 +221,13 @@
 }
 
 void directory::Learn(std::vector<stored_item> items, uint64_t revision) {
-  log_.Append(items, revision);
+  // A listing after lost history shows all that changed since revision_, so
+  // followers need none of their own.
+  std::vector<stored_item> changes;
+  for (const stored_item& item : items) {
+    if (item.revision > revision_) changes.push_back(item);
+  }
+  log_.Append(changes, revision);
   Take(std::move(items));
   revision_ = std::max(revision_, revision);
   feed_.Changed();
--- a/tray/relayd/feed.h
+++ b/tray/relayd/feed.h
@@ -24,7 +24,7 @@
 
 namespace baobabtray {
 
-constexpr size_t kLargeValue = 16 << 10;
+constexpr size_t kLargeValue = 64 << 10;
 
 // Changes as one host sends them to another.
 struct feed_batch {
--- a/tray/testing/feed_test.cc
+++ b/tray/testing/feed_test.cc
@@ -214,7 +214,7 @@
 
 Test(feed, batch_survives_its_encoding) {
   feed_batch batch{.items = {Item("a", 1, std::string("\0\xff", 2)),
-                             Item("big", 2, std::string(20'000, 'x')),
+                             Item("big", 2, std::string(70'000, 'x')),
                              {.key = "gone", .revision = 3, .removed = true}},
                    .revision = 4,
                    .age = 1500 * kMillisecond};
@@ -247,7 +247,7 @@
   w.watches = 0;
   w.PutServer("i-1");
   w.Until([&] { return w.AllKnow("i-1"); }, 1000);
-  w.store.Put("op/config", std::string(40'000, ' '));  // large: read by key
+  w.store.Put("op/config", std::string(70'000, ' '));  // large: read by key
   w.store.Remove("servers/i-1");
   w.Until(
       [&] {
@@ -291,12 +291,15 @@
   cr_assert_lt(TimeToLearn(&w, hub), 3 * kSecond);
 }
 
-// Pattern: the store drops its history while hosts follow a hub.
-Test(feed, lost_history_is_read_anew) {
+// Pattern: the store drops its history while hosts follow a hub. The hub alone
+// lists the store again.
+Test(feed, lost_history_is_read_anew_by_the_hub) {
   hosts_world w(17531);
   w.Settle();
   w.PutServer("i-1");
   w.Until([&] { return w.AllKnow("i-1"); });
+  w.For(1100);
+  int listings = w.store.calls("/-/kv-range");
   w.store.failing = platform_store::fault::kReset;
   w.store.Remove("servers/i-1");
   w.store.ForgetHistory();
@@ -308,6 +311,22 @@
     }
     return true;
   });
+  // The hub's failed call sends followers to the store for one look, where they
+  // may find their history gone as well.
+  cr_assert_leq(w.store.calls("/-/kv-range") - listings, 4);
+}
+
+// Pattern: the store drops its history and is never away.
+Test(feed, dropped_history_costs_one_listing) {
+  hosts_world w(17551);
+  w.Settle();
+  w.For(1100);
+  int listings = w.store.calls("/-/kv-range");
+  w.PutServer("i-1");
+  w.store.ForgetHistory();
+  w.Until([&] { return w.AllKnow("i-1"); });
+  w.For(1500);
+  cr_assert_leq(w.store.calls("/-/kv-range") - listings, 1);
 }
 
 Test(feed, wrong_questions_get_a_clear_answer) {
