Try new connections before writing to servers that may be full

Change: for 8 s after a host's start, and for 3 s after a server broke off, a new connection is used only after it has stood as long as it took to be made, so a reset proves that nothing was sent. After a start one server of each shard is kept connected, not two. Tests for both, and a full server for the client.

--- a/tray/http/relay_client.cc
+++ b/tray/http/relay_client.cc
@@ -14,6 +14,7 @@
 #include <array>
 #include <asio.hpp>
 #include <charconv>
+#include <chrono>
 #include <climits>
 #include <deque>
 #include <queue>
@@ -43,6 +44,8 @@
 constexpr micros kTick = 50 * kMillisecond;
 // Head and body of a usual part of a merged answer.
 constexpr size_t kReadBytes = 4096;
+// A reset may come this much later than the connection took to be made.
+constexpr micros kSettleSlack = 500;
 // Second replies to the request before that are read over, for one request.
 constexpr int kMaxRepeats = 2;
 
@@ -90,6 +93,7 @@
   const micros begun;    // when it began to be made
   transfer_ref current;  // null: idle
   bool made = false;
+  bool settling = false;  // made, nothing is sent yet
   bool closed = false;
   std::string last_id;
   int repeats = 0;
@@ -326,9 +330,22 @@
     ++c->home->made;
     Read(c);
     if (t->probed) return EndProbe(c, t);
+    if (t->call.cautious) return SendLater(c, t);
     if (!Send(c, t)) End(t, fetch_fault::kNotSent);
   }
 
+  void SendLater(const connection_ref& c, const transfer_ref& t) {
+    c->settling = true;
+    micros wait = SteadyNow() - c->begun + kSettleSlack;
+    auto timer = std::make_shared<asio::steady_timer>(
+        loop_, std::chrono::microseconds(wait));
+    timer->async_wait([this, c, t, timer](std::error_code) {
+      if (c->closed || c->current != t) return;
+      c->settling = false;
+      if (!Send(c, t)) End(t, fetch_fault::kNotSent);
+    });
+  }
+
   void EndProbe(const connection_ref& c, const transfer_ref& t) {
     Release(c);
     End(t, fetch_fault::kNone);
@@ -375,6 +392,7 @@
   void OnRead(const connection_ref& c, std::error_code error, size_t n) {
     if (c->closed) return;
     if (c->current == nullptr) return Close(c);  // closed, or stray bytes
+    if (c->settling) return Break(c, fetch_fault::kNotSent);
     if (error == asio::error::eof && c->reply.started) {
       return Parse(c, 0);  // may be the end of a body without a length
     }
@@ -524,8 +542,8 @@
     }
     if (now < t->start + t->call.timeout) return;
     CloseConnectionOf(t);
-    End(t, c != nullptr && c->made ? fetch_fault::kTimedOut
-                                   : fetch_fault::kNotSent);
+    bool sent = c != nullptr && c->made && !c->settling;
+    End(t, sent ? fetch_fault::kTimedOut : fetch_fault::kNotSent);
   }
 
   asio::io_context& loop_;
--- a/tray/http/relay_client.h
+++ b/tray/http/relay_client.h
@@ -46,6 +46,10 @@
   // Bounds the wait for a free connection, and then for a new one.
   micros connect_timeout = 1 * kSecond;
   bool fresh = false;  // on a new connection, where no idle close can cross it
+  // A new connection is used only after it has stood for as long as it took to
+  // be made. A server that has too many resets it by then, and the request is
+  // known not to have been sent.
+  bool cautious = false;
 };
 
 class relay_client {
--- a/tray/relay/relay.cc
+++ b/tray/relay/relay.cc
@@ -223,10 +223,12 @@
   service.used_at = now;
   relay_attempt a{.id = r->next_attempt++, .server = to, .sent_at = now};
   OnSent(to.get(), a.id, now);
+  bool cautious = MayReset(r->pool, *to, now);
   actions->sends.push_back({.attempt = a.id,
                             .part = index,
                             .server = std::move(to),
                             .connections = ConnectionsOf(r->pool, service, now),
+                            .cautious = cautious,
                             .timeout = q->deadline - now});
   part.attempts.push_back(std::move(a));
   part.ask_at = 0;
@@ -334,8 +336,9 @@
     case reply_kind::kServed:
       return OnServed(s, a->id, reply.load ? &*reply.load : nullptr, now);
     case reply_kind::kFailed:
-    case reply_kind::kBroken:
       return OnFailed(s, a->id, now);
+    case reply_kind::kBroken:
+      return OnBroken(s, a->id, now);
     case reply_kind::kRefused:
       a->may_have_run = false;
       return OnRefused(s, a->id, now);
--- a/tray/relay/relay.h
+++ b/tray/relay/relay.h
@@ -144,7 +144,8 @@
   uint64_t attempt = 0;
   int part = 0;
   server_ref server;
-  int connections = 1;  // that this host may have to the server
+  int connections = 1;    // that this host may have to the server
+  bool cautious = false;  // a new connection may be reset at once
   micros timeout = 0;
 };
 
--- a/tray/relay/servers.cc
+++ b/tray/relay/servers.cc
@@ -43,10 +43,10 @@
 // Part of a server's connections that live hosts divide. The rest is for hosts
 // that have started since the last count.
 constexpr double kDividedPart = 0.75;
-// The same for a host that has just started. If all lost power together, their
-// old connections are counted by the servers for some seconds beside the new.
+// The same for a host that has just started.
 constexpr double kDividedAtStart = 0.5;
-constexpr micros kStartTime = 8 * kSecond;
+// A server that broke off lately may be full.
+constexpr micros kBrokenTime = 3 * kSecond;
 // A server that can't be reached is left alone this long, doubled each time.
 constexpr micros kFirstHold = 200 * kMillisecond;
 constexpr micros kMaxHold = 2 * kSecond;
@@ -301,6 +301,16 @@
   AddFault(s, now);
 }
 
+void OnBroken(relay_server* s, uint64_t attempt, micros now) {
+  OnFailed(s, attempt, now);
+  s->broken_at = now;
+}
+
+bool MayReset(const relay_pool& p, const relay_server& s, micros now) {
+  return now - p.started_at < kStartTime ||
+         (s.broken_at != 0 && now - s.broken_at < kBrokenTime);
+}
+
 void OnRefused(relay_server* s, uint64_t attempt, micros now) {
   if (Close(s, attempt) == 0) return;
   Alive(s);
--- a/tray/relay/servers.h
+++ b/tray/relay/servers.h
@@ -87,6 +87,7 @@
   micros typical_at = 0;
   double faults = 0;  // decaying count of failed and refused attempts
   micros faults_at = 0;
+  micros broken_at = 0;      // last time it broke off
   int silent = 0;            // attempts and probes in a row that got no reply
   micros held_until = 0;     // silent or unreachable: not used before
   bool unreachable = false;  // not used until a probe makes a connection
@@ -111,6 +112,10 @@
   micros used_at = 0;  // last asked, or named by a new version
 };
 
+// After its start a host expects servers to be full: if all hosts lost power
+// together, servers count the old connections beside the new for some seconds.
+constexpr micros kStartTime = 8 * kSecond;
+
 struct relay_pool {
   // Constant.
   std::string host;  // this one's name
@@ -169,8 +174,12 @@
 void OnSent(relay_server* s, uint64_t attempt, micros now);
 void OnServed(relay_server* s, uint64_t attempt, const reported_load* load,
               micros now);
-// It answered with a failure of its own, broke off, or sent wrong bytes.
+// It answered with a failure of its own.
 void OnFailed(relay_server* s, uint64_t attempt, micros now);
+// It broke off or sent wrong bytes, as one with too many connections does.
+void OnBroken(relay_server* s, uint64_t attempt, micros now);
+// True if a new connection to the server may well be reset.
+bool MayReset(const relay_pool& p, const relay_server& s, micros now);
 // It refused: not run.
 void OnRefused(relay_server* s, uint64_t attempt, micros now);
 // No connection could be made. The server is left alone until one can: a
--- a/tray/relay/warm.cc
+++ b/tray/relay/warm.cc
@@ -54,7 +54,10 @@
       best_score = score;
     }
   }
-  return warm < kWarmServers ? best : nullptr;
+  // After a start the room at full servers is for hosts that have no connection
+  // at all.
+  bool starting = now - p.started_at < kStartTime;
+  return warm < (starting ? 1 : kWarmServers) ? best : nullptr;
 }
 
 }  // namespace
--- a/tray/relay/warm.h
+++ b/tray/relay/warm.h
@@ -12,7 +12,8 @@
 // the servers.
 //
 // Bound: servers have a limit of connections over all hosts. Nothing is made
-// ready where two for each host would not fit in it. At most kWarmupsPerLook
+// ready where two for each host would not fit in it, and for kStartTime after a
+// start only one is kept. At most kWarmupsPerLook
 // are made at once, so that a start costs neither side a stall. Cost:
 // O(servers) a look.
 
--- a/tray/testing/relay_client_test.cc
+++ b/tray/testing/relay_client_test.cc
@@ -38,6 +38,7 @@
 
   std::vector<reaction> script;  // the last one is used from then on
   std::vector<std::string> requests;
+  bool full = false;  // resets new connections
   int accepted = 0;
   int open = 0;
   int most_open = 0;
@@ -63,6 +64,11 @@
     acceptor_.async_accept([this](std::error_code error, tcp::socket s) {
       if (error) return;
       ++accepted;
+      if (full) {
+        s.set_option(asio::socket_base::linger(true, 0));
+        s.close();
+        return Accept();
+      }
       most_open = std::max(most_open, ++open);
       auto c = std::make_shared<connection>(std::move(s));
       connections_.insert(c);
@@ -405,6 +411,20 @@
   cr_assert_eq(probed, 0);
 }
 
+Test(relay_client, full_server_is_noticed_before_the_request_is_written) {
+  client_world w(17325);
+  w.server.full = true;
+  w.server.script = {{.bytes = Ok("a")}};
+  relay_call call = w.Call("a");
+  call.cautious = true;
+  for (int i = 0; i < 20; ++i) {
+    cr_assert_eq(w.Do(call).fault, fetch_fault::kNotSent);
+  }
+  cr_assert(w.server.requests.empty());
+  w.server.full = false;
+  cr_assert_eq(w.Do(call).fault, fetch_fault::kNone);
+}
+
 Test(relay_client, reply_to_head_has_no_body) {
   client_world w(17324);
   w.server.script = {
--- a/tray/testing/relay_test.cc
+++ b/tray/testing/relay_test.cc
@@ -270,6 +270,21 @@
   cr_assert_eq(Warm(&h).size(), 2u);
 }
 
+// Pattern: all hosts lose power together; servers still count their
+// connections.
+Test(warm, a_host_that_has_just_started_keeps_one_connection) {
+  host h;
+  h.AddService("s");
+  h.AddRoute({"s", "t"});
+  h.r.pool.started_at = h.now;
+  NoteShards(&h.r.pool, *h.table, h.now);
+  std::vector<std::string> ids = Warm(&h);
+  cr_assert_eq(ids.size(), 1u);
+  cr_assert_eq(ids[0], "s-a");
+  h.now += kStartTime;
+  cr_assert_eq(Warm(&h).size(), 1u);
+}
+
 Test(warm, lost_connections_are_made_again_but_not_at_once) {
   host h;
   h.AddService("s");
@@ -626,6 +641,25 @@
   cr_assert_eq(RunTimer(&h, &q).sends.size(), 1u);
 }
 
+// Pattern: a full server resets new connections, after the request was written.
+Test(relay, new_connections_to_servers_that_may_reset_them_are_tried_first) {
+  host h;
+  h.AddService("s");
+  h.AddRoute({"s"});
+  relay_query q = h.Query();
+  relay_actions a = Start(&h, &q);
+  cr_assert_not(a.sends[0].cautious);
+  Reply(&h, &q, a.sends[0].attempt, Ended(reply_kind::kBroken));
+  h.r.pool.started_at = h.now;
+  relay_query next = h.Query();
+  cr_assert(Start(&h, &next).sends[0].cautious, "just started");
+  h.r.pool.started_at = 0;
+  cr_assert(MayReset(h.r.pool, *h.Server("s-a"), h.now));
+  cr_assert_not(MayReset(h.r.pool, *h.Server("s-b"), h.now));
+  h.now += 10 * kSecond;
+  cr_assert_not(MayReset(h.r.pool, *h.Server("s-a"), h.now));
+}
+
 Test(relay, caller_that_leaves_cancels_every_attempt) {
   host h;
   h.AddService("s");
