--- a/tray/http/fetch.h
+++ b/tray/http/fetch.h
@@ -68,7 +68,7 @@
   kBroken,    // the connection broke, or the reply was cut short
   kTimedOut,  // bytes may have left
   kCrossed,   // the reply echoed another id; the connection was closed
-  kNoTurn,    // no room for one more connection; no byte left this host
+  kNoTurn,    // no connection became free in time; no byte left this host
 };
 constexpr name_table<fetch_fault, 6> kFetchFaultNames = {{
     {fetch_fault::kNone, "none"},
--- a/tray/http/relay_client.cc
+++ b/tray/http/relay_client.cc
@@ -392,7 +392,7 @@
   void OnRead(const connection_ref& c, std::error_code error, size_t n) {
     if (c->closed) return;
     if (c->current == nullptr) return Close(c);  // closed, or stray bytes
-    if (c->settling) return Break(c, fetch_fault::kNoTurn);
+    if (c->settling) return Break(c, fetch_fault::kNotSent);
     if (error == asio::error::eof && c->reply.started) {
       return Parse(c, 0);  // may be the end of a body without a length
     }
--- a/tray/http/relay_client.h
+++ b/tray/http/relay_client.h
@@ -47,8 +47,8 @@
   micros connect_timeout = 1 * kSecond;
   bool fresh = false;  // on a new connection, where no idle close can cross it
   // A new connection is used only after it has stood for as long as it took to
-  // be made. A server that has too many resets it by then, which ends the
-  // request as kNoTurn.
+  // be made. A server that has too many resets it by then, and the request is
+  // known not to have been sent.
   bool cautious = false;
 };
 
--- a/tray/relay/relay.cc
+++ b/tray/relay/relay.cc
@@ -35,9 +35,6 @@
 constexpr micros kRepeatPause = 20 * kMillisecond;
 // Attempts beyond way->max_servers that were proven not to have run.
 constexpr int kMoreAttempts = 2;
-// The same with those at servers that had no room for a connection:
-// kRepeatPause apart, more than fit into the aim of a usual route.
-constexpr size_t kMostAttempts = 12;
 // Attempts of an answered request that are left to end by themselves, so that
 // their connections can be used again, are cut off after this.
 constexpr micros kLingerTime = 300 * kMillisecond;
@@ -192,12 +189,8 @@
 // True if one more attempt of the part is allowed.
 bool MayAskAgain(const relay_query& q, const relay_part& part) {
   if (MayHaveRun(part) >= q.way->max_servers) return false;
-  // Full servers are tried again and again: room comes as others leave.
-  auto counted = std::count_if(
-      part.attempts.begin(), part.attempts.end(),
-      [](const relay_attempt& a) { return a.end != reply_kind::kNoTurn; });
-  if (counted >= q.way->max_servers + kMoreAttempts) return false;
-  if (part.attempts.size() >= kMostAttempts) return false;
+  int most = q.way->max_servers + kMoreAttempts;
+  if (static_cast<int>(part.attempts.size()) >= most) return false;
   if (q.way->kind == request_kind::kNonIdempotent) {
     return MayHaveRun(part) == 0 && !HasOpen(part);
   }
@@ -359,7 +352,7 @@
     case reply_kind::kNoTurn:
       a->may_have_run = false;
       a->arrived = false;
-      return OnNoTurn(s, a->id, now);
+      return OnGivenUp(s, a->id, false, now);
     case reply_kind::kTimedOut:
     case reply_kind::kCancelled:
       return OnGivenUp(s, a->id, true, now);
--- a/tray/relay/relay.h
+++ b/tray/relay/relay.h
@@ -62,7 +62,7 @@
   kRefused,    // the server says that it did not run the request
   kMisplaced,  // another server has the address; not run
   kNotSent,    // no connection; no byte left this host
-  kNoTurn,     // no room for a connection; no byte left this host
+  kNoTurn,     // no connection became free; no byte left this host
   kBroken,     // broken off, cut short, or not an answer to this request
   kTimedOut,   // no answer within its deadline
   kCancelled,  // given up by its request; never reported back
--- a/tray/relay/servers.cc
+++ b/tray/relay/servers.cc
@@ -325,12 +325,6 @@
   s->connected = false;
 }
 
-void OnNoTurn(relay_server* s, uint64_t attempt, micros now) {
-  if (Close(s, attempt) == 0) return;
-  s->connected = false;
-  s->broken_at = now;
-}
-
 std::vector<server_ref> TakeProbes(relay_pool* p, micros now) {
   std::vector<server_ref> due;
   for (const auto& [id, s] : p->by_id) {
--- a/tray/relay/servers.h
+++ b/tray/relay/servers.h
@@ -185,8 +185,6 @@
 // No connection could be made. The server is left alone until one can: a
 // request that had to find out would be late, and a connection costs little.
 void OnUnreachable(relay_server* s, uint64_t attempt, micros now);
-// It had no room for one more connection.
-void OnNoTurn(relay_server* s, uint64_t attempt, micros now);
 // Servers to which a connection should be tried now; marks them as probing.
 std::vector<server_ref> TakeProbes(relay_pool* p, micros now);
 void OnProbed(relay_server* s, bool connected, micros now);
