--- a/tray/relayd/change_log.h
+++ b/tray/relayd/change_log.h
@@ -33,8 +33,8 @@
 // In smaller data centres each host reads the store: a call saved is not worth
 // one more host that can fail.
 constexpr size_t kLeastHostsWithHub = 4;
-// A hub sends each change to so many; at kLargeValue each that is 0.8 s of a link
-// of 20 Mbit/s, and a tenth of that for a usual configuration.
+// A hub sends each change to so many; at kLargeValue each that is 0.8 s of a
+// link of 20 Mbit/s, and a tenth of that for a usual configuration.
 constexpr size_t kHostsPerHub = 32;
 constexpr size_t kMaxLogItems = 20'000;
 constexpr size_t kMaxLogBytes = 4 << 20;
