--- a/tray/testing/http_test.cc
+++ b/tray/testing/http_test.cc
@@ -252,4 +252,3 @@
                  "after port %d", port);
   }
 }
-
