--- a/tray/standin/platform_main.cc
+++ b/tray/standin/platform_main.cc
@@ -2,8 +2,17 @@
 // one route over shards and one route to a single service, and their servers.
 //
 //   standin_platform --listen IP:PORT --first-port PORT [--shards N]
+//                    [--control IP:PORT]
 //
-// The routes are http://demo.example/sweep/ and http://demo.example/report/.
+// The routes are http://demo.example/sweep/ over shards, /report/, and /order/,
+// which is not idempotent. On the control address:
+//
+//   POST /store?failing=none|busy|reset|silent     how the store answers
+//   POST /forget                                   it drops its history
+//   POST /server?id=ID&mode=normal|refuse|fail|mute|cut|reset|crossed
+//   POST /entry?id=ID&state=ready|draining|gone    what the store says of it
+//   POST /version                                  a newer configuration
+//   GET /ledger                                    how often each request ran
 
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
@@ -13,6 +22,7 @@
 #include <nlohmann/json.hpp>
 
 #include "tray/base/endpoint.h"
+#include "tray/base/names.h"
 #include "tray/base/run_main.h"
 #include "tray/base/strings.h"
 #include "tray/standin/platform_server.h"
@@ -46,7 +56,7 @@
           {"cold_per_s", 0.0}};
 }
 
-json Config(int shards) {
+json Config(int shards, int version) {
   json sweep = Route("sweep", "/sweep/", 800, 120);
   json services = json::array({Service("report")});
   sweep["gather"] = json::array();
@@ -59,8 +69,11 @@
   sweep["min_part_share"] = 0.89;
   json report = Route("report", "/report/", 2000, 300);
   report["service"] = "report";
-  return {{"version", 1},
-          {"routes", json::array({sweep, report})},
+  json order = Route("order", "/order/", 2000, 300);
+  order["service"] = "report";
+  order["kind"] = "non_idempotent";
+  return {{"version", version},
+          {"routes", json::array({sweep, report, order})},
           {"services", services},
           {"limits",
            {{"max_header_bytes", 16384},
@@ -69,6 +82,86 @@
             {"idle_timeout_ms", 15000}}}};
 }
 
+using store_fault = platform_store::fault;
+constexpr name_table<store_fault, 4> kStoreFaults = {{
+    {store_fault::kNone, "none"},
+    {store_fault::kBusy, "busy"},
+    {store_fault::kReset, "reset"},
+    {store_fault::kSilent, "silent"},
+}};
+using server_mode = platform_server::mode;
+constexpr name_table<server_mode, 7> kServerModes = {{
+    {server_mode::kNormal, "normal"},
+    {server_mode::kRefuse, "refuse"},
+    {server_mode::kFail, "fail"},
+    {server_mode::kMute, "mute"},
+    {server_mode::kCut, "cut"},
+    {server_mode::kReset, "reset"},
+    {server_mode::kWrongId, "crossed"},
+}};
+
+struct platform {
+  platform_store store;
+  std::vector<std::unique_ptr<platform_server>> servers;
+  int shards = 0;
+  int version = 1;
+};
+
+platform_server* ServerOf(platform* p, const std::string& id) {
+  for (auto& s : p->servers) {
+    if (s->options().id == id) return s.get();
+  }
+  return nullptr;
+}
+
+json Ledger(const platform& p) {
+  json all = json::object();
+  for (const auto& s : p.servers) {
+    if (s->options().shards) continue;  // may run any number of times
+    for (const auto& [id, times] : s->ran()) {
+      all[id] = all.value(id, 0) + times;
+    }
+  }
+  return all;
+}
+
+// Changes one server's mode or entry; false if the words are wrong.
+bool ChangeServer(platform* p, const wire_request& r) {
+  platform_server* s = ServerOf(p, r.Field("id"));
+  if (s == nullptr) return false;
+  if (r.path == "/server") {
+    auto mode = ValueOf(kServerModes, r.Field("mode"));
+    if (mode) s->answers = *mode;
+    return mode.has_value();
+  }
+  std::string key = "servers/" + s->options().id;
+  std::string state = r.Field("state");
+  if (state == "gone") {
+    p->store.Remove(key);
+  } else {
+    p->store.Put(key, s->Entry(state == "draining"));
+  }
+  return true;
+}
+
+void Control(platform* p, const std::shared_ptr<wire_connection>& c,
+             const wire_request& r) {
+  bool known = true;
+  if (r.path == "/ledger") return c->Reply(200, {}, Ledger(*p).dump());
+  if (r.path == "/store") {
+    auto fault = ValueOf(kStoreFaults, r.Field("failing"));
+    if (fault) p->store.failing = *fault;
+    known = fault.has_value();
+  } else if (r.path == "/forget") {
+    p->store.ForgetHistory();
+  } else if (r.path == "/version") {
+    p->store.Put("op/config", Config(p->shards, ++p->version).dump());
+  } else {
+    known = ChangeServer(p, r);
+  }
+  c->Reply(known ? 200 : 400, {}, "{}");
+}
+
 }  // namespace
 
 int RunProgram(int argc, char** argv) {
@@ -80,6 +173,8 @@
                              0, "PORT", cmd);
   TCLAP::ValueArg<int> shards("", "shards", "of the route /sweep/", false, 10,
                               "N", cmd);
+  TCLAP::ValueArg<std::string> control("", "control", "address for faults",
+                                       false, "", "IP:PORT", cmd);
   cmd.parse(argc, argv);
   absl::StatusOr<endpoint> address = ParseEndpoint(listen.getValue());
   if (!address.ok()) {
@@ -87,10 +182,25 @@
     return 2;
   }
   asio::io_context loop(1);
-  platform_store store(loop, address->host, address->port);
-  store.Listen();
-  store.Put("op/config", Config(shards.getValue()).dump());
-  std::vector<std::unique_ptr<platform_server>> servers;
+  platform p{.store = {loop, address->host, address->port},
+             .shards = shards.getValue()};
+  p.store.Listen();
+  p.store.Put("op/config", Config(p.shards, p.version).dump());
+  std::unique_ptr<wire_server> faults;
+  if (!control.getValue().empty()) {
+    absl::StatusOr<endpoint> at = ParseEndpoint(control.getValue());
+    if (!at.ok()) {
+      fmt::print(stderr, "{}\n", MessageOf(at.status()));
+      return 2;
+    }
+    faults = std::make_unique<wire_server>(
+        loop, at->host, at->port,
+        [&p](std::shared_ptr<wire_connection> c, const wire_request& r) {
+          Control(&p, c, r);
+        });
+    faults->Listen();
+  }
+  auto& servers = p.servers;
   auto add = [&](const std::string& service, bool with_records, int work_ms) {
     for (const char* data_centre : kDataCentres) {
       auto port = static_cast<uint16_t>(first.getValue() + servers.size());
@@ -104,11 +214,11 @@
                     .pause_ms = with_records ? 150 : 0,
                     .shards = with_records}));
       servers.back()->Listen();
-      store.Put("servers/" + servers.back()->options().id,
-                servers.back()->Entry());
+      p.store.Put("servers/" + servers.back()->options().id,
+                  servers.back()->Entry());
     }
   };
-  for (int i = 0; i < shards.getValue(); ++i) {
+  for (int i = 0; i < p.shards; ++i) {
     add(fmt::format("shard-{}", i), true, 5);
   }
   add("report", false, 40);
