No clamp with its bounds the wrong way round

Cause: read through: the earliest time to ask a second server may lie after the time at which a reply is late, if the bound on extra requests is small; std::clamp must not be called so. Ruled out: a change of what is decided; libstdc++ computes the same (min of max), so the new test, late_reply_is_asked_again_when_late_whatever_the_bound, passes before as well. It holds the behaviour from now on.

--- a/tray/relay/relay.cc
+++ b/tray/relay/relay.cc
@@ -183,7 +183,8 @@
   if (late <= latest) return late;
   double spare = ExtraPerFirst(&service->extra, r->pool.extra, now);
   double asked = std::clamp(kEarlyPart * spare, 0.0, 1.0);
-  return std::clamp(latest, QuantileOf(firsts, 1 - asked, late), late);
+  micros earliest = QuantileOf(firsts, 1 - asked, late);
+  return std::min(late, std::max(latest, earliest));
 }
 
 // True if one more attempt of the part is allowed.
@@ -232,8 +233,9 @@
                             .timeout = q->deadline - now});
   part.attempts.push_back(std::move(a));
   part.ask_at = 0;
-  if (MayAskAgain(*q, part))
+  if (MayAskAgain(*q, part)) {
     part.ask_at = now + LateAfter(r, *q->way, &service, now);
+  }
 }
 
 // Sends the part's first attempt, or says when to look again.
--- a/tray/testing/relay_test.cc
+++ b/tray/testing/relay_test.cc
@@ -601,6 +601,20 @@
   cr_assert_gt(early, 15 * kMillisecond);
 }
 
+// Pattern: second servers answer late, and the bound has no room to ask early.
+Test(relay, late_reply_is_asked_again_when_late_whatever_the_bound) {
+  host h;
+  for (const char* s : {"s", "t", "u"}) h.AddService(s);
+  h.AddRoute({"s", "t", "u"});
+  h.r.pool.extra = {.ratio = 0, .floor = 0, .window = 10 * kSecond};
+  for (int i = 0; i < 50; ++i) {
+    AddLatency(&h.r.pool.latency["way"].extras, 100 * kMillisecond);
+  }
+  micros asked = AskTimeAfter(&h, 50, 20 * kMillisecond);
+  cr_assert_gt(asked, 25 * kMillisecond);
+  cr_assert_lt(asked, 40 * kMillisecond, "%ld", asked);
+}
+
 Test(relay, non_idempotent_request_is_sent_again_only_if_not_run) {
   for (reply_kind kind :
        {reply_kind::kRefused, reply_kind::kMisplaced, reply_kind::kNotSent,
