Reject requests on arrival while servers queue, and say why no retry followed

A request over 36 shards fails as soon as two of them do, so most work went into requests that failed; hedges before a reply was late (a tenth of all arrivals) and callers' retries added to it, and the queues outlasted the burst by two seconds.

Change: each service keeps the mean load per slot that servers report, with a half-life of 0.5 s. Requests over shards are rejected on arrival in proportion to the mean over their shards, less urgent ones first, never all, with a Retry-After that the caller has time for. Above a load of one per slot only late replies are hedged.

The request line now names the reason for each part that has no answer.

--- a/tray/relay/relay.cc
+++ b/tray/relay/relay.cc
@@ -192,7 +192,10 @@
     latest = static_cast<micros>(target) -
              ResponseMargin(route.target_latency) - extras.p85;
   }
-  if (late <= latest) return late;
+  // While servers queue, a hedge of a reply that is not late delays others.
+  if (late <= latest || LoadPerSlot(service->load, now) > kQueueingLoad) {
+    return late;
+  }
   double per_first =
       ExtraPerFirst(&service->extra, state->pool.extra_request_limits, now);
   double hedged = std::clamp(kEarlyHedgeFraction * per_first, 0.0, 1.0);
@@ -200,15 +203,18 @@
   return std::min(late, std::max(latest, earliest));
 }
 
-// Returns true if one more attempt of the part is allowed.
-bool MayRetry(const relay_request& req, const relay_part& part) {
-  if (MayHaveRun(part) >= req.route->max_servers) return false;
+// Returns kNone if one more attempt of the part is allowed, else the reason.
+retry_verdict CheckRetry(const relay_request& req, const relay_part& part) {
   int attempt_limit = req.route->max_servers + kMaxAdditionalAttempts;
-  if (static_cast<int>(part.attempts.size()) >= attempt_limit) return false;
-  if (req.route->kind == request_kind::kNonIdempotent) {
-    return MayHaveRun(part) == 0 && !HasOpen(part);
+  if (req.route->kind == request_kind::kNonIdempotent &&
+      (MayHaveRun(part) > 0 || HasOpen(part))) {
+    return retry_verdict::kNonIdempotent;
+  }
+  if (MayHaveRun(part) >= req.route->max_servers ||
+      static_cast<int>(part.attempts.size()) >= attempt_limit) {
+    return retry_verdict::kServerLimit;
   }
-  return true;
+  return retry_verdict::kNone;
 }
 
 // Picks a server that the part has not tried yet. With `repeat`, it may also be
@@ -250,7 +256,8 @@
        .timeout = req->deadline - now});
   part.attempts.push_back(std::move(a));
   part.next_attempt_at = 0;
-  if (MayRetry(*req, part)) {
+  part.no_retry = CheckRetry(*req, part);
+  if (part.no_retry == retry_verdict::kNone) {
     part.next_attempt_at = now + HedgeDelay(state, *req->route, &service, now);
   }
 }
@@ -293,7 +300,8 @@
   relay_part& part = req->parts[index];
   part.next_attempt_at = 0;
   bool open = HasOpen(part);
-  if (!MayRetry(*req, part)) {
+  part.no_retry = CheckRetry(*req, part);
+  if (part.no_retry != retry_verdict::kNone) {
     if (!open) GiveUp(&part);
     return;
   }
@@ -307,7 +315,9 @@
     to = Pick(state, *req, &part, true, now);
   }
   if (to == nullptr) {
-    if (part.last_pick == pick_result::kBusy) {
+    bool busy = part.last_pick == pick_result::kBusy;
+    part.no_retry = busy ? retry_verdict::kBusy : retry_verdict::kNoServer;
+    if (busy) {
       part.next_attempt_at = now + kRetryInterval;
     } else if (!open) {
       GiveUp(&part);
@@ -318,6 +328,7 @@
       !TrySpendExtra(&GetOrCreateService(&state->pool, part.service)->extra,
                      state->pool.extra_request_limits, now,
                      IsNeeded(*req, part, now) ? 0 : kReservedForNeeded)) {
+    part.no_retry = retry_verdict::kNoBudget;
     if (!open && now >= BudgetWaitEnd(*req)) return GiveUp(&part);
     part.next_attempt_at = now + kRetryInterval;
     return;
@@ -325,6 +336,20 @@
   Send(state, req, index, std::move(to), now, actions);
 }
 
+// Decides whether to reject a request on arrival. Only a request over shards is
+// rejected: a request to one server goes to the least loaded one.
+bool IsOverloaded(relay_state* state, const relay_request& req, micros now) {
+  if (!req.route->is_sharded()) return false;
+  double sum = 0;
+  for (const relay_part& part : req.parts) {
+    sum +=
+        LoadPerSlot(GetOrCreateService(&state->pool, part.service)->load, now);
+  }
+  double rejected = RejectedFraction(
+      sum / static_cast<double>(req.parts.size()), req.route->priority);
+  return rejected > 0 && std::bernoulli_distribution(rejected)(state->random);
+}
+
 void SetTimer(relay_request* req) {
   if (req->finished) {
     req->timer_at =
@@ -402,6 +427,10 @@
   } else {
     req->parts.push_back({.service = PickTarget(state, *req->route)});
   }
+  if (IsOverloaded(state, *req, now)) {
+    req->overloaded = true;
+    return Finish(req, relay_outcome::kNotRun, now, actions);
+  }
   // Nothing is sent for a request that can't be answered.
   for (relay_part& part : req->parts) {
     if (Pick(state, *req, &part, false, now) == nullptr &&
@@ -427,6 +456,10 @@
   if (a == nullptr || !a->open) return;
   CloseAttempt(a, reply, now);
   relay_part& part = req->parts[index];
+  if (reply.load) {
+    RecordReportedLoad(&GetOrCreateService(&state->pool, part.service)->load,
+                       *reply.load, a->server->info.slots, now);
+  }
   if (reply.outcome == relay_attempt_outcome::kServed) {
     route_latency& latency = state->pool.latency[req->route->name];
     bool first = a == &part.attempts.front();
@@ -443,6 +476,7 @@
       if (!part.given_up && req->deadline - now >= kMinAttemptTime) {
         Retry(state, req, index, now, actions);
       } else if (!HasOpen(part)) {
+        if (!part.given_up) part.no_retry = retry_verdict::kNoTime;
         GiveUp(&part);
       }
     }
--- a/tray/relay/relay.h
+++ b/tray/relay/relay.h
@@ -118,12 +118,33 @@
   relay_attempt_outcome outcome = relay_attempt_outcome::kCancelled;
 };
 
+// Why a part has no further attempt.
+enum class retry_verdict {
+  kNone,           // not decided yet, or a further attempt was made
+  kNonIdempotent,  // an earlier attempt may have run
+  kServerLimit,    // the route's limit of servers or attempts is reached
+  kNoServer,       // no other server is eligible
+  kBusy,           // all other servers are at this host's limit of requests
+  kNoBudget,       // the budget of extra requests is spent
+  kNoTime,         // too little time is left
+};
+constexpr name_table<retry_verdict, 7> kRetryVerdictNames = {{
+    {retry_verdict::kNone, ""},
+    {retry_verdict::kNonIdempotent, "may have run"},
+    {retry_verdict::kServerLimit, "server limit"},
+    {retry_verdict::kNoServer, "no other server"},
+    {retry_verdict::kBusy, "others busy"},
+    {retry_verdict::kNoBudget, "no budget"},
+    {retry_verdict::kNoTime, "no time"},
+}};
+
 struct relay_part {
   std::string service;
   absl::InlinedVector<relay_attempt, 2> attempts;
   micros next_attempt_at = 0;  // 0: none scheduled
   bool given_up = false;
   pick_result last_pick = pick_result::kOk;
+  retry_verdict no_retry = retry_verdict::kNone;
   response_ref response;          // accepted
   response_ref failure_response;  // last error response of a server, if any
 };
@@ -138,6 +159,8 @@
   std::vector<relay_part> parts;
   int answered_parts = 0;
   bool finished = false;
+  // Rejected on arrival, since servers are queueing (overload.h).
+  bool overloaded = false;
   relay_outcome outcome = relay_outcome::kBroken;
   micros finished_at = 0;
   micros timer_at = 0;  // 0: none
--- a/tray/relay/servers.h
+++ b/tray/relay/servers.h
@@ -39,6 +39,7 @@
 #include "tray/base/time.h"
 #include "tray/fleet/latency.h"
 #include "tray/relay/extra.h"
+#include "tray/relay/overload.h"
 #include "tray/routes/routes.h"
 
 namespace baobabtray {
@@ -58,12 +59,6 @@
   int64_t sequence = 0;  // increases with each entry since its start
 };
 
-// Load as reported in a reply.
-struct reported_load {
-  int running = 0;
-  int waiting = 0;
-};
-
 struct open_attempt {
   uint64_t id = 0;
   micros sent_at = 0;
@@ -112,6 +107,7 @@
   service_limits limits;
   std::vector<server_ref> servers;
   extra_budget extra;
+  load_estimate load;       // of the servers that were asked
   micros last_used_at = 0;  // last request, or new table that names the service
 };
 
--- a/tray/relayd/relay_dump.cc
+++ b/tray/relayd/relay_dump.cc
@@ -51,6 +51,7 @@
     services[name] = {
         {"servers", std::move(servers)},
         {"connections", connections},
+        {"load_per_slot", LoadPerSlot(service.load, now)},
         {"extra_left",
          ExtraRemaining(&extra, r.pool.extra_request_limits, now)},
         {"extra_per_first",
--- a/tray/relayd/relay_log.cc
+++ b/tray/relayd/relay_log.cc
@@ -22,6 +22,7 @@
 // Describes the parts without an answer: the attempts made for each, or why
 // there was none.
 std::string DescribeMissing(const relay_request& q) {
+  if (q.overloaded) return "servers overloaded";
   std::string missing;
   for (const relay_part& part : q.parts) {
     if (part.response != nullptr) continue;
@@ -31,6 +32,10 @@
           "{}{}/{}", &a == &part.attempts[0] ? "" : ",", a.server->info.id,
           a.open ? "open" : NameOf(kRelayAttemptOutcomeNames, a.outcome));
     }
+    if (part.no_retry != retry_verdict::kNone) {
+      missing +=
+          fmt::format(" ({})", NameOf(kRetryVerdictNames, part.no_retry));
+    }
     if (part.attempts.empty()) {
       missing +=
           part.last_pick == pick_result::kBusy ? "all busy" : "no server";
--- a/tray/relayd/relay_worker.cc
+++ b/tray/relayd/relay_worker.cc
@@ -19,6 +19,7 @@
 #include "tray/base/log.h"
 #include "tray/base/strings.h"
 #include "tray/relay/merge.h"
+#include "tray/relay/retry_after.h"
 #include "tray/relayd/relay_dump.h"
 #include "tray/relayd/relay_log.h"
 #include "tray/relayd/relay_routing_state.h"
@@ -31,13 +32,6 @@
 // counts as not sent. It covers three times the longest latency between
 // regions, and the server's handshake.
 constexpr micros kConnectTimeout = 250 * kMillisecond;
-// Retry-After of a refused request, with jitter so that callers do not retry at
-// the same moment. Short, since another host or server can usually serve the
-// request at once.
-constexpr micros kShortRetryAfter = 60 * kMillisecond;
-// The same for a service without servers or a host without routes, which take
-// longer to recover.
-constexpr micros kLongRetryAfter = 300 * kMillisecond;
 // For this long after its start, several tens of the store's response times, a
 // host defers requests until it has received the routes. Later requests, and
 // those beyond kMaxDeferredRequests, are refused.
@@ -394,16 +388,6 @@
     return codecs_.callers.encode_merged(merged);
   }
 
-  // Mean Retry-After of a refused request.
-  static micros RetryAfter(const relay_request& q) {
-    bool no_servers =
-        std::any_of(q.parts.begin(), q.parts.end(), [](const relay_part& p) {
-          return p.given_up && p.attempts.empty() &&
-                 p.last_pick == pick_result::kNoServer;
-        });
-    return no_servers ? kLongRetryAfter : kShortRetryAfter;
-  }
-
   void AnswerLocally(const responder& respond, local_reply answer,
                      micros retry_after) {
     counters_.CountLocalReply(answer);
