Follow a hub's successor instead of the store, and avoid a stale hub for a while

Change: hosts rank all hosts of a data centre in one order. A host that finds its hub dead, or without contact to the store for 1.5 s, avoids it for 6 s and follows the next one, which finds the same and watches the store; a hub that can't reach the store avoids itself and follows another. Followers keep their change log, so a successor serves at once and a failing hub still answers with its age. Polls are answered when the hub becomes stale. The first follower starts the hub's renewals. The first watch follows the listing by 0.4 s, so that hosts which start together read all announcements by one call; leases last 30 s. hub_selection is a library without network or clock, tested by a model of a data centre. entries_deleted_within_lost_history now waits for the watch that its outage interrupts; its checks are unchanged.

--- a/tray/relayd/change_feed.cc
+++ b/tray/relayd/change_feed.cc
@@ -11,6 +11,7 @@
 #include "absl/strings/escaping.h"
 #include "tray/base/clock.h"
 #include "tray/base/strings.h"
+#include "tray/relayd/hub_selection.h"
 
 namespace baobabtray {
 namespace {
@@ -58,6 +59,7 @@
   }
   json root = {{"revision", batch.revision},
                {"age_ms", batch.age / kMillisecond},
+               {"direct", batch.direct},
                {"items", std::move(items)}};
   return root.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -66,7 +68,8 @@
   try {
     json node = json::parse(text);
     change_batch batch{.revision = node.at("revision"),
-                       .age = node.at("age_ms").get<int64_t>() * kMillisecond};
+                       .age = node.at("age_ms").get<int64_t>() * kMillisecond,
+                       .direct = node.value("direct", true)};
     for (const json& row : node.at("items")) {
       if (row.value("large", false)) {
         batch.large.push_back(row.at("key"));
@@ -116,13 +119,20 @@
       pending_poll{*after, respond, asio::steady_timer(loop_)});
   if (TryAnswer(*poll, *wait == 0)) return;
   pending_.insert(poll);
-  poll->timer.expires_after(
-      std::chrono::milliseconds(std::min(*wait, kMaxWaitMs)));
+  poll->timer.expires_after(std::chrono::microseconds(
+      HoldTime(std::min(*wait, kMaxWaitMs) * kMillisecond)));
   poll->timer.async_wait([this, poll](std::error_code error) {
     if (!error && pending_.erase(poll) > 0) TryAnswer(*poll, true);
   });
 }
 
+// A poll is answered when this host becomes stale, so that the follower turns
+// to another host without delay.
+micros change_feed_server::HoldTime(micros wait) const {
+  micros fresh = kMaxHubStaleness - source_.age();
+  return fresh > 0 ? std::min(wait, fresh + kMillisecond) : wait;
+}
+
 void change_feed_server::NotifyChanged() {
   std::erase_if(pending_, [this](const poll_ref& poll) {
     if (!TryAnswer(*poll, false)) return false;
@@ -139,7 +149,7 @@
   const change_log* log = source_.log();
   if (log == nullptr) {
     poll.respond(
-        {.status = 409, .body = R"({"error":"does not read the store"})"});
+        {.status = 409, .body = R"({"error":"has not read the store yet"})"});
     return true;
   }
   auto changes = log->ChangesAfter(poll.after);
@@ -151,7 +161,8 @@
   if (changes->empty() && !expired) return false;
   poll.respond({.body = EncodeChanges({.items = *std::move(changes),
                                        .revision = log->revision(),
-                                       .age = source_.age()})});
+                                       .age = source_.age(),
+                                       .direct = source_.direct()})});
   return true;
 }
 
--- a/tray/relayd/change_feed.h
+++ b/tray/relayd/change_feed.h
@@ -3,8 +3,9 @@
 //
 // A long poll: the response is sent as soon as there is a change after REVISION
 // or the wait has expired. It states how long ago the sender last had contact
-// with the store. A sender that does not watch the store itself answers 409,
-// one whose log does not reach back to REVISION 410. A value larger than
+// with the store, and whether it watches the store itself. A sender that has
+// not listed the store yet answers 409, one whose log does not reach back to
+// REVISION 410. A value larger than
 // kLargeValue is omitted and read from the store by key, so that one large
 // change does not saturate the sender's link.
 
@@ -32,6 +33,7 @@
   std::vector<std::string> large;  // keys of items whose value is omitted
   uint64_t revision = 0;           // changes up to this revision are included
   micros age = 0;                  // since the sender's last store contact
+  bool direct = true;              // the sender watches the store itself
 };
 
 std::string EncodeChanges(const change_batch& batch);
@@ -48,9 +50,10 @@
 class change_feed_server {
  public:
   struct source {
-    // Returns null while this host does not watch the store itself.
+    // Returns null until this host has listed the store.
     std::function<const change_log*()> log;
-    std::function<micros()> age;  // since the last contact with the store
+    std::function<micros()> age;   // since the last contact with the store
+    std::function<bool()> direct;  // whether this host watches the store
   };
 
   change_feed_server(asio::io_context& loop, source from)
@@ -73,6 +76,7 @@
   // Answers if there are changes or an error to report, or if the wait has
   // `expired`. Returns whether it has answered.
   bool TryAnswer(const pending_poll& poll, bool expired);
+  micros HoldTime(micros wait) const;
 
   asio::io_context& loop_;
   source source_;
--- a/tray/relayd/change_log.cc
+++ b/tray/relayd/change_log.cc
@@ -1,11 +1,9 @@
-// Implementation of the change log and of hub selection.
+// Implementation of the change log.
 
 #include "tray/relayd/change_log.h"
 
 #include <algorithm>
 
-#include "tray/base/hash.h"
-
 namespace baobabtray {
 
 void change_log::Reset(uint64_t revision) {
@@ -53,22 +51,4 @@
   return changes;
 }
 
-const registered_host* SelectHub(
-    const std::map<std::string, registered_host>& live,
-    const registered_host& own) {
-  std::vector<std::pair<uint64_t, const registered_host*>> candidates;
-  for (const auto& [name, entry] : live) {
-    if (entry.data_centre != own.data_centre || entry.peer_address.port == 0)
-      continue;
-    candidates.emplace_back(HashOf(name), &entry);
-  }
-  if (candidates.size() < kMinHostsForHub) return nullptr;
-  std::sort(candidates.begin(), candidates.end());
-  size_t hubs = (candidates.size() + kHostsPerHub - 1) / kHostsPerHub;
-  for (size_t i = 0; i < hubs; ++i) {
-    if (candidates[i].second->name == own.name) return nullptr;
-  }
-  return candidates[HashOf(own.name) % hubs].second;
-}
-
 }  // namespace baobabtray
--- a/tray/relayd/change_log.h
+++ b/tray/relayd/change_log.h
@@ -1,18 +1,12 @@
-// Log of recent store changes that a hub serves to the other hosts of its data
-// centre, and the selection of hubs. No I/O; change_feed.h transports the log.
+// Log of recent store changes that a host serves to other hosts of its data
+// centre. No I/O; change_feed.h transports the log, and hub_selection.h selects
+// the hosts that serve it.
 //
 //   change_log log;
 //   log.Reset(listing_revision);
 //   log.Append(items, revision);
 //   auto changes = log.ChangesAfter(after);  // latest item per key, or nullopt
 //
-// Every host needs all changes of the store. If each of the dozens of hosts of
-// a data centre watched the store, each change would be read dozens of times,
-// and every read is charged and counts towards the store's rate limit.
-// Therefore one host in kHostsPerHub, the hub, watches the store for the
-// others. They watch the store themselves as soon as their hub does not answer
-// or has lost contact with the store.
-//
 // Memory: the latest item of each key changed since the last Reset, at most
 // kMaxLogItems and kMaxLogBytes.
 
@@ -31,13 +25,6 @@
 
 namespace baobabtray {
 
-// In smaller data centres every host watches the store: the few calls saved do
-// not justify depending on one more host.
-constexpr size_t kMinHostsForHub = 4;
-// A hub sends each change to this many hosts. With values of kLargeValue bytes
-// that takes 0.8 s of a 20 Mbit/s link; a typical configuration takes a tenth
-// of that.
-constexpr size_t kHostsPerHub = 32;
 constexpr size_t kMaxLogItems = 20'000;
 constexpr size_t kMaxLogBytes = 4 << 20;
 
@@ -64,13 +51,6 @@
   std::map<std::string, uint64_t> latest_;
 };
 
-// Returns the host that watches the store for `own`, or null if `own` watches
-// it itself. `live` holds all live hosts by name; hosts with the same view of
-// `live` select the same hubs.
-const registered_host* SelectHub(
-    const std::map<std::string, registered_host>& live,
-    const registered_host& own);
-
 }  // namespace baobabtray
 
 #endif  // TRAY_RELAYD_CHANGE_LOG_H_
--- a/tray/relayd/store_watcher.cc
+++ b/tray/relayd/store_watcher.cc
@@ -29,21 +29,19 @@
 constexpr micros kMaxInitialRetryDelay = 200 * kMillisecond;
 constexpr int kMaxBackoffDoublings = 3;
 // A dead host counts as live until its lease expires. Until then the other
-// hosts' shares of connections and budgets are too small, which is harmless.
-constexpr micros kLeaseTtl = 15 * kSecond;
+// hosts' shares of connections and budgets are too small, which is harmless,
+// and a dead hub is tried and avoided a few times.
+constexpr micros kLeaseTtl = 30 * kSecond;
 constexpr micros kLeaseRenewInterval = kLeaseTtl / 3;
 
 // Longest time for which a hub holds a poll.
 constexpr micros kHubPollWait = 1 * kSecond;
-// A hub that has had no contact with the store for longer is abandoned. With
-// kHubPollWait and one call to the store, a change is then known within 3 s,
-// the shortest time limit for one.
-constexpr micros kMaxHubStaleness = 1500 * kMillisecond;
 // Lease renewal interval of a hub with followers, half of kMaxHubStaleness:
 // renewals count as contact with the store.
 constexpr micros kHubRenewInterval = 750 * kMillisecond;
-// Time for which a host that has abandoned its hub watches the store itself.
-constexpr micros kDirectWatchTime = 5 * kSecond;
+// Delay between a host's first listing and its first watch. Hosts that start
+// together have announced themselves by then, and all are read by one call.
+constexpr micros kFirstWatchDelay = 400 * kMillisecond;
 
 // Delays before the recorded fleet size follows the number of live hosts. The
 // raise delay lets hosts that start together cost one write. The lower delay
@@ -62,11 +60,11 @@
       own_(std::move(own)),
       deliver_(std::move(deliver)),
       random_(std::random_device{}()),
-      change_feed_(loop,
-                   {.log = [this]() -> const change_log* {
-                      return hub_.empty() && failures_ == 0 ? &log_ : nullptr;
-                    },
-                    .age = [this] { return SteadyNow() - last_contact_; }}) {}
+      change_feed_(loop, {.log = [this]() -> const change_log* {
+                            return revision_ != 0 ? &log_ : nullptr;
+                          },
+                          .age = [this] { return SteadyNow() - last_contact_; },
+                          .direct = [this] { return choice_.hub.empty(); }}) {}
 
 void store_watcher::Start() {
   StartListing();
@@ -109,7 +107,9 @@
         {{"problem", problem}, {"revision", std::to_string(revision_)}});
   }
   ++failures_;
-  change_feed_.NotifyChanged();  // lets followers turn to the store
+  if (IsStale(choice_, SteadyNow() - last_contact_, true, SteadyNow())) {
+    AvoidHub(&choice_, own_.name, SteadyNow());
+  }
   RunAfter(Backoff(failures_ - 1), std::move(retry));
 }
 
@@ -154,44 +154,44 @@
       {{"revision", std::to_string(listing_revision_)},
        {"items", std::to_string(listing_.size())}});
   listing_.clear();
-  if (revision_ == 0) log_.Reset(listing_revision_);
+  bool first = revision_ == 0;
+  if (first) log_.Reset(listing_revision_);
   ApplyChanges(std::move(items), listing_revision_);
+  if (first) return RunAfter(kFirstWatchDelay, [this] { Watch(); });
   Watch();
 }
 
 void store_watcher::Watch() {
-  micros now = SteadyNow();
-  const registered_host* hub = SelectHub(hosts_, own_);
-  if (hub == nullptr || leaving_ || failures_ > 0 || now < direct_until_) {
-    return WatchStore();
-  }
+  const registered_host* hub =
+      leaving_ ? nullptr : SelectHub(hosts_, own_, choice_, SteadyNow());
+  if (hub == nullptr) return WatchStore();
   PollHub(*hub);
 }
 
 void store_watcher::PollHub(const registered_host& hub) {
   SetHub(hub.name);
-  RequestChanges(&http_, hub.peer_address, revision_, kHubPollWait,
-                 [this, name = hub.name](absl::StatusOr<change_batch> batch) {
-                   if (absl::IsFailedPrecondition(batch.status())) {
-                     // The hub does not watch the store yet, or its log does
-                     // not reach back far enough. One watch of the store by
-                     // this host lets both catch up.
-                     return WatchStore();
-                   }
-                   if (!batch.ok()) {
-                     return AbandonHub(name, MessageOf(batch.status()));
-                   }
-                   if (batch->age > kMaxHubStaleness) {
-                     return AbandonHub(
-                         name, "the hub has lost contact with the store");
-                   }
-                   HandleBatch(name, *std::move(batch));
-                 });
+  RequestChanges(
+      &http_, hub.peer_address, revision_, kHubPollWait,
+      [this, name = hub.name](absl::StatusOr<change_batch> batch) {
+        if (absl::IsFailedPrecondition(batch.status())) {
+          // The hub has not listed the store yet, or its log does
+          // not reach back far enough. One watch of the store by
+          // this host lets both catch up.
+          return WatchStore();
+        }
+        if (!batch.ok()) {
+          return AbandonHub(name, MessageOf(batch.status()));
+        }
+        if (IsStale(choice_, batch->age, batch->direct, SteadyNow())) {
+          return AbandonHub(name, "the hub has lost contact with the store");
+        }
+        HandleBatch(name, *std::move(batch));
+      });
 }
 
 void store_watcher::HandleBatch(const std::string& hub, change_batch batch) {
   if (!batch.large.empty()) return FetchLargeValues(hub, std::move(batch));
-  last_contact_ = SteadyNow() - batch.age;
+  last_contact_ = std::max(last_contact_, SteadyNow() - batch.age);
   ApplyChanges(std::move(batch.items), batch.revision);
   Watch();
 }
@@ -219,17 +219,14 @@
       {{"hub", hub},
        {"problem", std::string(problem)},
        {"revision", std::to_string(revision_)}});
-  direct_until_ = SteadyNow() + kDirectWatchTime;
-  WatchStore();
+  AvoidHub(&choice_, hub, SteadyNow());
+  Watch();
 }
 
 // Sets the source of changes: the hub of this name, or the store if empty.
 void store_watcher::SetHub(const std::string& hub) {
-  if (hub == hub_) return;
-  hub_ = hub;
-  // The log is complete only while the store is watched, so it restarts here.
-  log_.Reset(revision_);
-  change_feed_.NotifyChanged();
+  if (hub == choice_.hub) return;
+  FollowHub(&choice_, hub, SteadyNow());
   Log(log_level::kInfo, "watch_source_changed",
       {{"hub", hub}, {"revision", std::to_string(revision_)}});
 }
@@ -349,9 +346,7 @@
     if (leaving_ || lease != lease_) return;
     if (end == store_status::kOk) {
       lease_failures_ = 0;
-      return RunAfter(kLeaseRenewInterval, [this, lease] {
-        if (lease == lease_) RenewLease();
-      });
+      return ScheduleRenewal(RenewInterval());
     }
     // The failed write may have taken effect. Repeating it is harmless.
     RunAfter(Backoff(++lease_failures_), [this, lease, end] {
@@ -362,19 +357,37 @@
   });
 }
 
+// Interval of lease renewals, which show followers that this host is in contact
+// with the store.
+micros store_watcher::RenewInterval() const {
+  bool is_hub = choice_.hub.empty() && change_feed_.HasFollowers(SteadyNow());
+  return is_hub ? kHubRenewInterval : kLeaseRenewInterval;
+}
+
+// Replaces the renewal that is scheduled.
+void store_watcher::ScheduleRenewal(micros delay) {
+  next_renewal_ = SteadyNow() + delay;
+  RunAfter(delay, [this, at = next_renewal_, lease = lease_] {
+    if (at == next_renewal_ && lease == lease_) RenewLease();
+  });
+}
+
+void store_watcher::HandleChangeRequest(const http_request& r,
+                                        const responder& respond) {
+  change_feed_.Handle(r, respond);
+  // The first follower makes this host a hub.
+  if (next_renewal_ > SteadyNow() + RenewInterval())
+    ScheduleRenewal(RenewInterval());
+}
+
 void store_watcher::RenewLease() {
   uint64_t lease = lease_;
   store_.renew_lease(lease, [this, lease](store_status end) {
     if (leaving_ || lease != lease_) return;
     if (end == store_status::kNotFound) return OpenLease();
     bool ok = end == store_status::kOk;
-    if (ok && hub_.empty()) last_contact_ = SteadyNow();
-    bool has_followers = hub_.empty() && change_feed_.HasFollowers(SteadyNow());
-    micros period = has_followers ? kHubRenewInterval : kLeaseRenewInterval;
-    micros next = ok ? period : Backoff(++lease_failures_);
-    RunAfter(next, [this, lease] {
-      if (lease == lease_) RenewLease();
-    });
+    if (ok && choice_.hub.empty()) last_contact_ = SteadyNow();
+    ScheduleRenewal(ok ? RenewInterval() : Backoff(++lease_failures_));
   });
 }
 
--- a/tray/relayd/store_watcher.h
+++ b/tray/relayd/store_watcher.h
@@ -1,10 +1,10 @@
 // Follows the store on the control thread: one listing of all keys, then
 // watches for changes, in the store's revision order. In larger data centres
 // one host, the hub, watches the store and the others poll the hub
-// (change_log.h, change_feed.h). A host whose hub does not answer, or has had
-// no contact with the store for kMaxHubStaleness, watches the store itself for
-// kDirectWatchTime. Learning a change through a hub is thus delayed by at most
-// one to two seconds.
+// (hub_selection.h, change_log.h, change_feed.h). A host whose hub does not
+// answer, or has had no contact with the store for kMaxHubStaleness, follows
+// the hub's successor, which watches the store from then on. Learning a change
+// through a hub is thus delayed by at most one to two seconds.
 //
 // Decoded items are delivered in batches. While the store is unreachable the
 // last known state stays in force. If the store has dropped the history that a
@@ -36,6 +36,7 @@
 #include "tray/relay/ports.h"
 #include "tray/relayd/change_feed.h"
 #include "tray/relayd/change_log.h"
+#include "tray/relayd/hub_selection.h"
 
 namespace baobabtray {
 
@@ -52,9 +53,7 @@
   // Ends the lease, which removes this host's entry from the store.
   void Deregister();
   // Answers another host's poll for changes.
-  void HandleChangeRequest(const http_request& r, const responder& respond) {
-    change_feed_.Handle(r, respond);
-  }
+  void HandleChangeRequest(const http_request& r, const responder& respond);
 
   // For the state dump.
   uint64_t revision() const { return revision_; }
@@ -62,7 +61,7 @@
   bool in_contact() const { return failures_ == 0 && revision_ != 0; }
   micros last_contact() const { return last_contact_; }
   // Name of the hub that this host polls, or "" if it watches the store.
-  const std::string& hub() const { return hub_; }
+  const std::string& hub() const { return choice_.hub; }
 
  private:
   void StartListing();
@@ -84,6 +83,8 @@
   void Announce();
   void ReviewFleetSize();
   void RenewLease();
+  micros RenewInterval() const;
+  void ScheduleRenewal(micros delay);
   void RunAfter(micros delay, std::function<void()> callback);
   micros Backoff(int failures);
 
@@ -100,11 +101,11 @@
   int failures_ = 0;  // consecutive failed calls
   micros last_contact_ = 0;
   uint64_t lease_ = 0;
+  micros next_renewal_ = 0;  // 0: none was scheduled yet
   int lease_failures_ = 0;
   std::map<std::string, registered_host> hosts_;  // live hosts by name
-  std::string hub_;
-  micros direct_until_ = 0;  // until then the store is watched, not a hub
-  change_log log_;           // maintained while hub_ is empty
+  hub_choice choice_;
+  change_log log_;  // of all changes since the first listing
   change_feed_server change_feed_;
   int recorded_hosts_ = 0;
   bool review_pending_ = false;  // a timer will run the fleet size review
--- a/tray/testing/relayd_test.cc
+++ b/tray/testing/relayd_test.cc
@@ -200,6 +200,9 @@
   fx.store.Put("servers/i-2", ServerEntry("a"));
   fx.watcher.Start();
   fx.RunUntil([&] { return fx.Count<server_update>() == 2; });
+  // The outage interrupts a watch; the first one follows the listing with a
+  // delay.
+  fx.RunUntil([&] { return fx.store.CallCount("/-/kv-watch") > 0; });
   fx.store.active_fault = platform_store::fault::kReset;
   fx.store.Remove("servers/i-1");
   fx.store.CompactHistory();
