Leave time for the connection of callers that connect, and log when servers are asked

A response that waits for its last shard leaves an eighth of the target latency (10 ms) before its time, but a caller 3 ms away that has to connect spends 12 ms on round trips. Ruled out: the servers; both servers of a missing part were still open at 70 ms, the second one asked after 16 ms (median) over a connection that it first had to make (57 ms). The request line now shows when each server was asked.

Change: the first request on a caller's connection leaves 6 ms more.

--- a/tray/relay/relay.cc
+++ b/tray/relay/relay.cc
@@ -21,10 +21,11 @@
 // failures.
 constexpr double kEarlyHedgeFraction = 0.6;
 // ResponseMargin is the target latency divided by this, but not less than the
-// minimum: two round trips of a caller some milliseconds away, and a few
-// milliseconds of work.
+// minimum: a round trip of a caller some milliseconds away, and a few
+// milliseconds of work. A connection takes one more round trip.
 constexpr micros kMarginDivisor = 8;
 constexpr micros kMinMargin = 8 * kMillisecond;
+constexpr micros kConnectMargin = 6 * kMillisecond;
 // Fraction of the extra request budget that is reserved for parts without which
 // a request would fail or be late. Omitting one part of ten costs the caller a
 // fifth of the response; omitting too many costs the whole response.
@@ -190,7 +191,7 @@
   const latency_histogram& extras = found->second.extras;
   if (extras.p85 != 0) {
     latest = static_cast<micros>(target) -
-             ResponseMargin(route.target_latency) - extras.p85;
+             ResponseMargin(route.target_latency, false) - extras.p85;
   }
   // While servers queue, a hedge of a reply that is not late delays others.
   if (late <= latest || LoadPerSlot(service->load, now) > kQueueingLoad) {
@@ -410,8 +411,9 @@
 
 }  // namespace
 
-micros ResponseMargin(micros target_latency) {
-  return std::max(kMinMargin, target_latency / kMarginDivisor);
+micros ResponseMargin(micros target_latency, bool new_connection) {
+  return std::max(kMinMargin, target_latency / kMarginDivisor) +
+         (new_connection ? kConnectMargin : 0);
 }
 
 bool HasOpenAttempts(const relay_request& req) {
--- a/tray/relayd/relay_log.cc
+++ b/tray/relayd/relay_log.cc
@@ -29,7 +29,8 @@
     missing += fmt::format("{}{}:", missing.empty() ? "" : " ", part.service);
     for (const relay_attempt& a : part.attempts) {
       missing += fmt::format(
-          "{}{}/{}", &a == &part.attempts[0] ? "" : ",", a.server->info.id,
+          "{}{}@{}/{}", &a == &part.attempts[0] ? "" : ",", a.server->info.id,
+          (a.sent_at - q.start) / kMillisecond,
           a.open ? "open" : NameOf(kRelayAttemptOutcomeNames, a.outcome));
     }
     if (part.no_retry != retry_verdict::kNone) {
--- a/tray/relayd/relay_worker.cc
+++ b/tray/relayd/relay_worker.cc
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <chrono>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "tray/base/clock.h"
 #include "tray/base/deadline_timer.h"
@@ -234,9 +235,11 @@
     q.route = matched;
     q.start = now;
     q.deadline = now + std::max<micros>(time_budget - kDeadlineMargin, 1);
+    bool new_connection = served_connections_.insert(connection).second;
     q.soft_deadline =
-        std::min(q.deadline, now + matched->target_latency -
-                                 ResponseMargin(matched->target_latency));
+        std::min(q.deadline,
+                 now + matched->target_latency -
+                     ResponseMargin(matched->target_latency, new_connection));
     active->request = std::move(request);
     active->respond = std::move(respond);
     active->connection = connection;
@@ -252,6 +255,7 @@
 
   // Cancels the requests of a caller that has closed its connection.
   void OnClose(uint64_t connection) {
+    served_connections_.erase(connection);
     std::erase_if(deferred_, [&](const deferred_request& e) {
       return e.connection == connection;
     });
@@ -444,6 +448,8 @@
   std::unordered_map<uint64_t, std::unique_ptr<active_request>> requests_;
   // Query ids of the unanswered requests of each caller's connection.
   std::unordered_multimap<uint64_t, uint64_t> by_connection_;
+  // Open connections of callers that have sent a request.
+  std::unordered_set<uint64_t> served_connections_;
   std::unordered_map<uint64_t, running_attempt> attempts_;  // by attempt id
 };
 
--- a/tray/testing/relay_load_model.cc
+++ b/tray/testing/relay_load_model.cc
@@ -181,7 +181,7 @@
                 .route = &route,
                 .start = now_,
                 .soft_deadline = now_ + route.target_latency -
-                                 ResponseMargin(route.target_latency),
+                                 ResponseMargin(route.target_latency, false),
                 .deadline = now_ + left};
     uint64_t id = r->query.id;
     requests_[id] = std::move(r);
--- a/tray/testing/relay_test.cc
+++ b/tray/testing/relay_test.cc
@@ -84,7 +84,7 @@
             .route = route,
             .start = now,
             .soft_deadline = now + route->target_latency -
-                             ResponseMargin(route->target_latency),
+                             ResponseMargin(route->target_latency, false),
             .deadline = now + route->time_limit};
   }
 
@@ -249,6 +249,18 @@
   cr_assert_geq(ExpectedLatency(*far, 1, h.now), 27 * kMillisecond);
 }
 
+// A caller 3 ms away that has to connect spends 12 ms on round trips that the
+// host does not see. Its response must leave early enough for the shortest
+// target latency of a search.
+Test(relay, margin_covers_the_round_trips_of_a_caller_that_connects) {
+  constexpr micros kOneWay = 3 * kMillisecond;
+  for (micros target : {80 * kMillisecond, 120 * kMillisecond}) {
+    cr_assert_geq(ResponseMargin(target, true), 4 * kOneWay + kMillisecond);
+    cr_assert_geq(ResponseMargin(target, false), 2 * kOneWay + kMillisecond);
+    cr_assert_leq(ResponseMargin(target, true), target / 5);
+  }
+}
+
 // ---- Preconnects -----------------------------------------------------------
 
 // Preconnects until no more servers are due; returns their ids in order.
