Bound interim replies, and headers and trailers of fetched replies

Cause: bytes that are no answer may come without end, until the caller closes. Looked for in heads and bodies from servers, hubs and callers: a server that sends interim (1xx) replies held an attempt and its connection until the deadline, parsing all the while (test timed out after 8 s); trailers of a fetched reply were collected without a bound (35 MB held within a second), and its headers beyond 225 kB. Ruled out, bounded before and now tested: status line, header values and lines, chunk extensions, trailers and bodies at relay_client, no-reply bytes, targets, headers and chunked bodies of callers; others were served.

Change: a ninth interim reply makes a reply invalid, so that the attempt fails at once and another server is asked; more than 64 kB of headers and trailers end a fetch. What libcurl discards (chunk extensions) still lasts until the time limit of the call, holding no memory.

--- a/tray/http/fetch.cc
+++ b/tray/http/fetch.cc
@@ -145,6 +145,7 @@
     bool id_seen = false;
     bool id_mismatch = false;
     bool has_framing = false;  // has Content-Length or Transfer-Encoding
+    size_t head_bytes = 0;     // received, with trailers and interim replies
     int send_count = 0;        // how often libcurl started to send the request
 
     // Called after the last header. Rejects a reply to another request, and one
@@ -298,6 +299,8 @@
   static size_t OnHeader(char* data, size_t size, size_t count, void* arg) {
     auto* t = static_cast<transfer*>(arg);
     std::string_view line(data, size * count);
+    t->head_bytes += line.size();
+    if (t->head_bytes > kMaxReplyHeadBytes) return 0;
     if (line == "\r\n") return t->AcceptHeaders() ? size * count : 0;
     size_t colon = line.find(':');
     if (colon == std::string_view::npos) return size * count;
--- a/tray/http/fetch.h
+++ b/tray/http/fetch.h
@@ -41,6 +41,8 @@
 
 // A reply with a larger body is a failure.
 constexpr size_t kMaxReplyBytes = 8 << 20;
+// The same for its headers and trailers together.
+constexpr size_t kMaxReplyHeadBytes = 64 << 10;
 
 struct fetch_request {
   std::string method = "POST";
--- a/tray/http/reply_reader.cc
+++ b/tray/http/reply_reader.cc
@@ -36,6 +36,7 @@
   keep_alive_ = false;
   keep_alive_timeout_ = 0;
   duplicate_replies_ = 0;
+  interim_replies_ = 0;
   BeginMessage();
 }
 
@@ -124,8 +125,11 @@
   bool duplicate = mismatch && r->id_is_previous_ && has_framing &&
                    r->duplicate_replies_ < kMaxDuplicateReplies;
   r->duplicate_replies_ += duplicate ? 1 : 0;
+  r->interim_replies_ += interim ? 1 : 0;
   r->skip_message_ = interim || duplicate;
   if (mismatch && !duplicate) r->state_ = reply_state::kIdMismatch;
+  if (r->interim_replies_ > kMaxInterimReplies)
+    r->state_ = reply_state::kInvalid;
   return r->expected_.no_body ? 1 : 0;
 }
 
--- a/tray/http/reply_reader.h
+++ b/tray/http/reply_reader.h
@@ -5,11 +5,13 @@
 //   size_t used = reader.Feed(data, size);   // size 0: end of the connection
 //   if (reader.state() == reply_state::kComplete) result = reader.TakeResult();
 //
-// Interim (1xx) replies are skipped, and so are up to kMaxDuplicateReplies
-// duplicate replies to the previous request on the connection (`previous_id`),
-// which some servers send. Any other reply that does not echo the id is
-// kIdMismatch. A reply without a length is complete when the connection ends. A
-// reply larger than kMaxReplyBytes is kInvalid.
+// Up to kMaxInterimReplies interim (1xx) replies are skipped, and up to
+// kMaxDuplicateReplies duplicate replies to the previous request on the
+// connection (`previous_id`), which some servers send. Any other reply that
+// does not echo the id is kIdMismatch. A reply without a length is complete
+// when the connection ends. A reply with a body larger than kMaxReplyBytes or a
+// head larger than http_parser's limit is kInvalid, so that a server that sends
+// bytes without end is noticed.
 
 #ifndef TRAY_HTTP_REPLY_READER_H_
 #define TRAY_HTTP_REPLY_READER_H_
@@ -25,8 +27,9 @@
 
 namespace baobabtray {
 
-// Duplicate replies to the previous request that are skipped at most.
+// Replies that are skipped at most before the reply to a request.
 constexpr int kMaxDuplicateReplies = 2;
+constexpr int kMaxInterimReplies = 8;
 
 enum class reply_state {
   kReading,
@@ -76,6 +79,7 @@
   bool keep_alive_ = false;
   micros keep_alive_timeout_ = 0;
   int duplicate_replies_ = 0;
+  int interim_replies_ = 0;
   // State of the message that is being parsed.
   http_parser parser_;
   fetch_result result_;
