Know full servers as full, and close connections that are rarely used

Hosts held connections to all three servers of a shard, the third from a hedge long ago, so that servers were full of dead connections. And hedges took places that other hosts had none of. Ruled out: the store (listed 126 ms after the start) and servers (attempts that were sent were served).

Change: a connection that is accepted and reset before the request is written has its own outcome, server_full: not a fault of the server; it is tried again after 0.1 to 0.8 s. A request that finds too few places is rejected at once, not run. While a server of a service was recently full, open connections are used first and hedges make no new ones. A host closes connections beyond two servers of a service, or beyond one where two per host do not fit, once unused for a second. connection_limits_are_respected now also checks one connection where only two do not fit; the random checks know the new outcome.

--- a/tray/http/fetch.h
+++ b/tray/http/fetch.h
@@ -77,6 +77,9 @@
 
 struct fetch_result {
   fetch_fault fault = fetch_fault::kNone;
+  // With kNotSent: the server accepted the connection and closed it at once, as
+  // servers do that have too many connections. Only set by relay_client.
+  bool connection_rejected = false;
   int status = 0;
   // Headers of the reply, with names as received. fetcher keeps only those
   // whose names start with "X-".
--- a/tray/http/relay_client.cc
+++ b/tray/http/relay_client.cc
@@ -110,6 +110,11 @@
     return p == nullptr ? 0 : p->connected;
   }
 
+  void CloseIdle(const endpoint& to) {
+    pool* p = GetPool(to);
+    while (p != nullptr && !p->idle.empty()) Close(p->idle.back());
+  }
+
   uint64_t Start(transfer_ref t) {
     t->id = next_id_++;
     t->start = SteadyNow();
@@ -216,8 +221,8 @@
     c->connected = true;
     ++c->owning_pool->connected;
     Read(c);
-    if (t->on_probe_done) return CompleteProbe(c, t);
     if (t->call.delay_first_send) return SendAfterDelay(c, t);
+    if (t->on_probe_done) return CompleteProbe(c, t);
     if (!TrySend(c, t)) Complete(t, fetch_fault::kNotSent);
   }
 
@@ -230,6 +235,7 @@
     timer->async_wait([this, c, t, timer](std::error_code) {
       if (c->closed || c->current != t) return;
       c->first_send_delayed = false;
+      if (t->on_probe_done) return CompleteProbe(c, t);
       if (!TrySend(c, t)) Complete(t, fetch_fault::kNotSent);
     });
   }
@@ -283,7 +289,10 @@
   void OnRead(const connection_ref& c, std::error_code error, size_t n) {
     if (c->closed) return;
     if (c->current == nullptr) return Close(c);  // closed, or unsolicited bytes
-    if (c->first_send_delayed) return Fail(c, fetch_fault::kNotSent);
+    if (c->first_send_delayed) {
+      c->current->result.connection_rejected = true;
+      return Fail(c, fetch_fault::kNotSent);
+    }
     if (error == asio::error::eof && c->reader.started()) {
       return Parse(c, 0);  // may end a body without a length
     }
@@ -441,6 +450,8 @@
   return impl_->OpenConnections(to);
 }
 
+void relay_client::CloseIdle(const endpoint& to) { impl_->CloseIdle(to); }
+
 uint64_t relay_client::Start(relay_call call, fetch_callback done) {
   auto t = std::make_shared<transfer>();
   t->call = std::move(call);
@@ -451,7 +462,10 @@
 void relay_client::Probe(const endpoint& to, micros timeout,
                          std::function<void(bool connected)> done) {
   auto t = std::make_shared<transfer>();
-  t->call = {.to = to, .timeout = timeout, .connect_timeout = timeout};
+  t->call = {.to = to,
+             .timeout = timeout,
+             .connect_timeout = timeout,
+             .delay_first_send = true};
   t->on_probe_done = std::move(done);
   impl_->Start(std::move(t));
 }
--- a/tray/http/relay_client.h
+++ b/tray/http/relay_client.h
@@ -71,8 +71,12 @@
   // Number of established connections to `to`.
   int OpenConnections(const endpoint& to);
 
-  // Tries to connect, and keeps the connection if the limit allows it. `done`
-  // is called once, never from within Probe.
+  // Closes the idle connections to `to`.
+  void CloseIdle(const endpoint& to);
+
+  // Tries to connect, and keeps the connection if the limit allows it. A server
+  // that accepts the connection but resets it at once counts as not connected.
+  // `done` is called once, never from within Probe.
   void Probe(const endpoint& to, micros timeout,
              std::function<void(bool connected)> done);
 
--- a/tray/relay/preconnect.cc
+++ b/tray/relay/preconnect.cc
@@ -22,24 +22,34 @@
   return s.last_used_at != 0 && now - s.last_used_at < kActivePeriod;
 }
 
-bool FitsConnectionLimit(const relay_pool& pool, const relay_service& s) {
+// Number of the service's servers to which every host can stay connected.
+int StandingConnections(const relay_pool& pool, const relay_service& s) {
   double room = static_cast<double>(s.servers.size()) *
                 s.limits.max_connections * kPreconnectFraction;
-  return pool.host_count * kPreconnectedServers <= room;
+  return static_cast<int>(
+      std::min<double>(kPreconnectedServers, room / pool.host_count));
 }
 
 bool IsUsable(const relay_pool& pool, const relay_server& s, micros now) {
   return s.drain_deadline == 0 && !s.misplaced && !s.unreachable &&
-         now >= s.backoff_until &&
+         now >= s.backoff_until && now >= s.full_until &&
          !pool.out_of_service.contains(s.info.data_centre);
 }
 
+// Nearer servers are preferred, and among equals those of a higher score, which
+// spreads the hosts over the servers.
+bool IsPreferred(const relay_pool& pool, const relay_server& a,
+                 const relay_server& b) {
+  if (a.distance != b.distance) return a.distance < b.distance;
+  return RendezvousScore(a.info.id, pool.host_name) >
+         RendezvousScore(b.info.id, pool.host_name);
+}
+
 // Returns the next server to connect to, or null if enough are connected.
 server_ref NextPreconnect(const relay_pool& pool, const relay_service& service,
                           micros now) {
   int connected = 0;
   server_ref best;
-  uint64_t best_score = 0;
   for (const server_ref& s : service.servers) {
     if (!IsUsable(pool, *s, now)) continue;
     if (s->connected || s->probe_pending) {
@@ -47,18 +57,14 @@
       continue;
     }
     if (now < s->next_preconnect_at) continue;
-    uint64_t score = RendezvousScore(s->info.id, pool.host_name);
-    bool nearer = best != nullptr && s->distance < best->distance;
-    bool same_distance = best != nullptr && s->distance == best->distance;
-    if (best == nullptr || nearer || (same_distance && score > best_score)) {
-      best = s;
-      best_score = score;
-    }
+    if (best == nullptr || IsPreferred(pool, *s, *best)) best = s;
   }
   // During startup, free connections at full servers are left to hosts that
   // have none yet.
   bool starting = now - pool.started_at < kStartupPeriod;
-  return connected < (starting ? 1 : kPreconnectedServers) ? best : nullptr;
+  int standing = StandingConnections(pool, service);
+  return connected < (starting ? std::min(1, standing) : standing) ? best
+                                                                   : nullptr;
 }
 
 }  // namespace
@@ -92,8 +98,7 @@
   std::vector<server_ref> due;
   for (const auto& [name, service] : pool->services) {
     if (due.size() == kMaxPreconnectsPerRound) break;
-    if (!IsActive(service, now) || !FitsConnectionLimit(*pool, service))
-      continue;
+    if (!IsActive(service, now)) continue;
     server_ref next = NextPreconnect(*pool, service, now);
     if (next == nullptr) continue;
     next->probe_pending = true;
@@ -103,4 +108,27 @@
   return due;
 }
 
+std::vector<server_ref> SurplusConnections(const relay_pool& pool, micros now) {
+  std::vector<server_ref> surplus;
+  for (const auto& [name, service] : pool.services) {
+    if (service.limits.max_connections <= 0) continue;
+    auto standing = static_cast<size_t>(StandingConnections(pool, service));
+    std::vector<server_ref> connected;
+    for (const server_ref& s : service.servers) {
+      if (s->connected) connected.push_back(s);
+    }
+    if (connected.size() <= standing) continue;
+    std::sort(connected.begin(), connected.end(),
+              [&](const server_ref& a, const server_ref& b) {
+                return IsPreferred(pool, *a, *b);
+              });
+    for (size_t i = standing; i < connected.size(); ++i) {
+      const server_ref& s = connected[i];
+      if (s->open_attempts.empty() && now - s->last_sent_at >= kMaxSurplusIdle)
+        surplus.push_back(s);
+    }
+  }
+  return surplus;
+}
+
 }  // namespace baobabtray
--- a/tray/relay/preconnect.h
+++ b/tray/relay/preconnect.h
@@ -12,11 +12,16 @@
 // of every service in use, near ones first and then by rendezvous hashing,
 // which spreads the hosts over the servers.
 //
-// A server's connection limit covers all hosts. No connections are made ahead
-// for a service where two per host would not fit into the limit, and a host
-// keeps only one during kStartupPeriod. At most kMaxPreconnectsPerRound are
-// started per call, so that a start stalls neither the host nor the servers.
-// Cost: O(servers) per call.
+// A server's connection limit covers all hosts. If two connections per host do
+// not fit into the limits of a service's servers, a host keeps one, and none if
+// not even that fits. Other connections are closed once they are unused for
+// kMaxSurplusIdle: connections that are rarely used would fill the servers, and
+// after a power loss of all hosts, while servers still count the old
+// connections, hosts would find no room. During kStartupPeriod a host makes
+// only one ahead. At most kMaxPreconnectsPerRound are started per call, so that
+// a start stalls neither the host nor the servers. Cost: O(servers) per call.
+//
+//   for (server_ref s : SurplusConnections(pool, now))  // close idle ones to s
 
 #ifndef TRAY_RELAY_PRECONNECT_H_
 #define TRAY_RELAY_PRECONNECT_H_
@@ -31,8 +36,10 @@
 namespace baobabtray {
 
 constexpr size_t kMaxPreconnectsPerRound = 6;
-// Servers per service to which a host stays connected.
+// Servers per service to which a host stays connected, if they fit.
 constexpr int kPreconnectedServers = 2;
+// Outlasts the gaps between requests while a server is slow.
+constexpr micros kMaxSurplusIdle = 1 * kSecond;
 
 // Marks the services of the table's shards as in use, before the first request.
 void MarkShardsUsed(relay_pool* pool, const route_table& table, micros now);
@@ -48,6 +55,9 @@
 // Returns the servers to connect to now, and marks them as being probed.
 std::vector<server_ref> TakeDuePreconnects(relay_pool* pool, micros now);
 
+// Returns the connected servers that this host should not stay connected to.
+std::vector<server_ref> SurplusConnections(const relay_pool& pool, micros now);
+
 }  // namespace baobabtray
 
 #endif  // TRAY_RELAY_PRECONNECT_H_
--- a/tray/relay/relay.cc
+++ b/tray/relay/relay.cc
@@ -204,6 +204,11 @@
   return std::min(late, std::max(latest, earliest));
 }
 
+// Returns true if no server can take a request in the next moments.
+bool IsUnavailable(pick_result result) {
+  return result == pick_result::kNoServer || result == pick_result::kFull;
+}
+
 // Returns kNone if one more attempt of the part is allowed, else the reason.
 retry_verdict CheckRetry(const relay_request& req, const relay_part& part) {
   int attempt_limit = req.route->max_servers + kMaxAdditionalAttempts;
@@ -233,6 +238,7 @@
                     {.service = part->service,
                      .regions = &req.route->regions,
                      .excluded = &excluded,
+                     .optional = HasOpen(*part),
                      .now = now,
                      .random = state->random()},
                     &part->last_pick);
@@ -271,7 +277,7 @@
   if (server_ref to = Pick(state, *req, &part, false, now)) {
     return Send(state, req, index, std::move(to), now, actions);
   }
-  if (part.last_pick == pick_result::kNoServer) return GiveUp(&part);
+  if (IsUnavailable(part.last_pick)) return GiveUp(&part);
   part.next_attempt_at = now + kRetryInterval;
 }
 
@@ -317,7 +323,10 @@
   }
   if (to == nullptr) {
     bool busy = part.last_pick == pick_result::kBusy;
-    part.no_retry = busy ? retry_verdict::kBusy : retry_verdict::kNoServer;
+    bool full = part.last_pick == pick_result::kFull;
+    part.no_retry = busy   ? retry_verdict::kBusy
+                    : full ? retry_verdict::kFull
+                           : retry_verdict::kNoServer;
     if (busy) {
       part.next_attempt_at = now + kRetryInterval;
     } else if (!open) {
@@ -378,7 +387,8 @@
 }
 
 // Closes the attempt and updates its server's state.
-void CloseAttempt(relay_attempt* a, const server_reply& reply, micros now) {
+void CloseAttempt(relay_state* state, const std::string& service,
+                  relay_attempt* a, const server_reply& reply, micros now) {
   relay_server* s = a->server.get();
   a->open = false;
   a->outcome = reply.outcome;
@@ -399,6 +409,11 @@
       a->may_have_run = false;
       a->was_sent = false;
       return OnUnreachable(s, a->id, now);
+    case relay_attempt_outcome::kServerFull:
+      a->may_have_run = false;
+      a->was_sent = false;
+      return OnServerFull(GetOrCreateService(&state->pool, service), s, a->id,
+                          now);
     case relay_attempt_outcome::kNoFreeConnection:
       a->may_have_run = false;
       a->was_sent = false;
@@ -436,7 +451,7 @@
   // Nothing is sent for a request that can't be answered.
   for (relay_part& part : req->parts) {
     if (Pick(state, *req, &part, false, now) == nullptr &&
-        part.last_pick == pick_result::kNoServer) {
+        IsUnavailable(part.last_pick)) {
       GiveUp(&part);
     }
   }
@@ -456,8 +471,8 @@
   int index = 0;
   relay_attempt* a = FindAttempt(req, attempt, &index);
   if (a == nullptr || !a->open) return;
-  CloseAttempt(a, reply, now);
   relay_part& part = req->parts[index];
+  CloseAttempt(state, part.service, a, reply, now);
   if (reply.load) {
     RecordReportedLoad(&GetOrCreateService(&state->pool, part.service)->load,
                        *reply.load, a->server->info.slots, now);
--- a/tray/relay/relay.h
+++ b/tray/relay/relay.h
@@ -64,17 +64,19 @@
   kRefused,           // the server states that it did not run the request
   kMisplaced,         // another server uses the address; not run
   kNotSent,           // no connection was made; no byte was sent
+  kServerFull,        // the server rejected the connection; no byte was sent
   kNoFreeConnection,  // timed out waiting for a connection; no byte was sent
   kBroken,            // connection lost, or a truncated or mismatched reply
   kTimedOut,          // no reply before the deadline
   kCancelled,         // cancelled by its request; never reported back
 };
-constexpr name_table<relay_attempt_outcome, 9> kRelayAttemptOutcomeNames = {{
+constexpr name_table<relay_attempt_outcome, 10> kRelayAttemptOutcomeNames = {{
     {relay_attempt_outcome::kServed, "served"},
     {relay_attempt_outcome::kFailed, "failed"},
     {relay_attempt_outcome::kRefused, "refused"},
     {relay_attempt_outcome::kMisplaced, "misplaced"},
     {relay_attempt_outcome::kNotSent, "not_sent"},
+    {relay_attempt_outcome::kServerFull, "server_full"},
     {relay_attempt_outcome::kNoFreeConnection, "no_turn"},
     {relay_attempt_outcome::kBroken, "broken"},
     {relay_attempt_outcome::kTimedOut, "timed_out"},
@@ -125,15 +127,17 @@
   kServerLimit,    // the route's limit of servers or attempts is reached
   kNoServer,       // no other server is eligible
   kBusy,           // all other servers are at this host's limit of requests
+  kFull,           // the other servers reject connections
   kNoBudget,       // the budget of extra requests is spent
   kNoTime,         // too little time is left
 };
-constexpr name_table<retry_verdict, 7> kRetryVerdictNames = {{
+constexpr name_table<retry_verdict, 8> kRetryVerdictNames = {{
     {retry_verdict::kNone, ""},
     {retry_verdict::kNonIdempotent, "may have run"},
     {retry_verdict::kServerLimit, "server limit"},
     {retry_verdict::kNoServer, "no other server"},
     {retry_verdict::kBusy, "others busy"},
+    {retry_verdict::kFull, "others full"},
     {retry_verdict::kNoBudget, "no budget"},
     {retry_verdict::kNoTime, "no time"},
 }};
--- a/tray/relay/servers.cc
+++ b/tray/relay/servers.cc
@@ -60,6 +60,11 @@
 constexpr micros kInitialBackoff = 200 * kMillisecond;
 constexpr micros kMaxBackoff = 2 * kSecond;
 constexpr int kMaxBackoffDoublings = 4;
+// The same for a server that rejects connections. Its places become free when
+// it notices that hosts are gone, within seconds.
+constexpr micros kInitialFullBackoff = 100 * kMillisecond;
+constexpr int kMaxFullDoublings = 3;
+constexpr micros kScarcePeriod = 3 * kSecond;
 
 double Decayed(double value, micros age, micros half_life) {
   if (value == 0 || age <= 0) return value;
@@ -92,6 +97,8 @@
 
 void ResetBackoff(relay_server* s) {
   s->consecutive_no_reply = 0;
+  s->consecutive_full = 0;
+  s->full_until = 0;
   s->backoff_until = 0;
   s->unreachable = false;
 }
@@ -276,6 +283,7 @@
   pick_tier best_tier = pick_tier::kIneligible;
   micros best_latency = 0;
   bool busy = false;
+  bool full = false;
   auto found = pool->services.find(std::string(request.service));
   if (found != pool->services.end()) {
     const relay_service& service = found->second;
@@ -283,6 +291,7 @@
     size_t max_requests =
         static_cast<size_t>(connections) * kMaxRequestsPerConnection;
     size_t count = service.servers.size();
+    bool scarce = ConnectionsScarce(service, request.now);
     for (size_t i = 0; i < count; ++i) {
       // The first of equal servers is picked, so the scan starts at a random
       // one.
@@ -291,6 +300,15 @@
       if (tier == pick_tier::kIneligible ||
           Contains(request.excluded, s->info.id))
         continue;
+      bool needs_connection = !s->connected && s->open_attempts.empty();
+      if (needs_connection && request.now < s->full_until) {
+        full = true;
+        continue;
+      }
+      if (needs_connection && scarce) {
+        if (request.optional) continue;
+        tier = std::max(tier, pick_tier::kBackedOff);
+      }
       if (s->open_attempts.size() >= max_requests ||
           !ColdLimitAllows(*pool, service, *s, request.now)) {
         busy = true;
@@ -308,6 +326,7 @@
   if (result != nullptr) {
     *result = best != nullptr ? pick_result::kOk
               : busy          ? pick_result::kBusy
+              : full          ? pick_result::kFull
                               : pick_result::kNoServer;
   }
   return best;
@@ -315,6 +334,7 @@
 
 void OnSent(relay_server* s, uint64_t attempt, micros now) {
   s->open_attempts.push_back({.id = attempt, .sent_at = now});
+  s->last_sent_at = now;
   if (now < s->cold_until) s->last_cold_send = now;
 }
 
@@ -374,6 +394,20 @@
   s->connected = false;
 }
 
+void OnServerFull(relay_service* service, relay_server* s, uint64_t attempt,
+                  micros now) {
+  service->full_at = now;
+  if (CloseAttempt(s, attempt) == 0) return;
+  int doublings = std::min(s->consecutive_full++, kMaxFullDoublings);
+  s->full_until = now + (kInitialFullBackoff << doublings);
+  s->last_broken_at = now;
+  s->connected = false;
+}
+
+bool ConnectionsScarce(const relay_service& service, micros now) {
+  return service.full_at != 0 && now - service.full_at < kScarcePeriod;
+}
+
 std::vector<server_ref> TakeDueProbes(relay_pool* pool, micros now) {
   std::vector<server_ref> due;
   for (const auto& [id, s] : pool->servers_by_id) {
--- a/tray/relay/servers.h
+++ b/tray/relay/servers.h
@@ -80,6 +80,7 @@
   bool lapsed = false;     // there is no entry
   bool misplaced = false;  // another server replied at its address
   absl::InlinedVector<open_attempt, 8> open_attempts;  // oldest first
+  micros last_sent_at = 0;     // last attempt, open or not
   micros mean_latency = 0;     // running mean; 0: never measured
   micros min_latency = 0;      // lowest ever; 0: never measured
   micros mean_updated_at = 0;  // time of the last change of mean_latency
@@ -90,6 +91,9 @@
   micros backoff_until = 0;      // after no reply or no connection
   bool unreachable = false;      // until a probe connects
   bool probe_pending = false;
+  // Rejects new connections until then, since it has too many.
+  micros full_until = 0;
+  int consecutive_full = 0;       // rejected connections since a reply
   bool connected = false;         // had an open connection at the last check
   micros next_preconnect_at = 0;  // no preconnect before
   int other_hosts_load = 0;       // requests of other hosts, as last reported
@@ -108,6 +112,7 @@
   std::vector<server_ref> servers;
   extra_budget extra;
   load_estimate load;       // of the servers that were asked
+  micros full_at = 0;       // last time a server rejected a connection
   micros last_used_at = 0;  // last request, or new table that names the service
 };
 
@@ -153,12 +158,23 @@
   kOk,
   kBusy,      // all servers are at this host's limit of requests
   kNoServer,  // no server is eligible
+  kFull,      // eligible servers reject connections, and none is open
 };
 
+constexpr name_table<pick_result, 4> kPickResultNames = {{
+    {pick_result::kOk, "not asked"},
+    {pick_result::kBusy, "all busy"},
+    {pick_result::kNoServer, "no server"},
+    {pick_result::kFull, "all full"},
+}};
+
 struct pick_request {
   std::string_view service;
   const std::vector<std::string>* regions = nullptr;   // null or empty: all
   const std::vector<std::string>* excluded = nullptr;  // server ids
+  // A request that can do without: where connections are scarce it takes none
+  // that another host may need.
+  bool optional = false;
   micros now = 0;
   uint64_t random = 0;  // breaks ties
 };
@@ -193,6 +209,13 @@
 // No connection could be made. The server is not used until a probe connects: a
 // request that discovers the failure would be late, while a probe costs little.
 void OnUnreachable(relay_server* s, uint64_t attempt, micros now);
+// The server rejected the connection because it has too many. This says nothing
+// about its health: requests go to it over open connections, and new ones are
+// tried after a delay that doubles. While a server of a service was recently
+// full, connections to the service are scarce.
+void OnServerFull(relay_service* service, relay_server* s, uint64_t attempt,
+                  micros now);
+bool ConnectionsScarce(const relay_service& service, micros now);
 // Returns the unreachable servers that are due for a probe, and marks them as
 // being probed. Report each result to OnProbeResult.
 std::vector<server_ref> TakeDueProbes(relay_pool* pool, micros now);
--- a/tray/relayd/relay_log.cc
+++ b/tray/relayd/relay_log.cc
@@ -38,8 +38,7 @@
           fmt::format(" ({})", NameOf(kRetryVerdictNames, part.no_retry));
     }
     if (part.attempts.empty()) {
-      missing +=
-          part.last_pick == pick_result::kBusy ? "all busy" : "no server";
+      missing += NameOf(kPickResultNames, part.last_pick);
     }
   }
   return missing;
--- a/tray/relayd/server_prober.cc
+++ b/tray/relayd/server_prober.cc
@@ -42,6 +42,7 @@
   micros now = SteadyNow();
   ProbeUnreachable(now);
   ConnectAhead(now);
+  CloseSurplus(now);
   if (HasUnreachableServers(pool_) || HasActiveServices(pool_, now)) Schedule();
 }
 
@@ -72,4 +73,11 @@
   }
 }
 
+void server_prober::CloseSurplus(micros now) {
+  for (const server_ref& s : SurplusConnections(pool_, now)) {
+    client_.CloseIdle(s->info.address);
+    s->connected = false;
+  }
+}
+
 }  // namespace baobabtray
--- a/tray/relayd/server_prober.h
+++ b/tray/relayd/server_prober.h
@@ -30,6 +30,7 @@
   void Run();
   void ProbeUnreachable(micros now);
   void ConnectAhead(micros now);
+  void CloseSurplus(micros now);
 
   asio::steady_timer timer_;
   relay_client& client_;
--- a/tray/testing/relay_client_test.cc
+++ b/tray/testing/relay_client_test.cc
@@ -464,6 +464,17 @@
   cr_assert_eq(probed, 0);
 }
 
+Test(relay_client, idle_connections_are_closed_on_demand) {
+  client_fixture w(17326);
+  w.server.script = {{.bytes = OkReply("a")}};
+  w.Run("a");
+  cr_assert_eq(w.client.OpenConnections({kHost, w.port}), 1);
+  w.client.CloseIdle({kHost, w.port});
+  cr_assert_eq(w.client.OpenConnections({kHost, w.port}), 0);
+  w.Run("a");
+  cr_assert_eq(w.server.accepted, 2);
+}
+
 Test(relay_client,
      reset_of_a_new_connection_is_noticed_before_the_request_is_sent) {
   client_fixture w(17325);
@@ -475,6 +486,10 @@
     cr_assert_eq(w.Run(call).fault, fetch_fault::kNotSent);
   }
   cr_assert(w.server.requests.empty());
+  int probed = -1;
+  w.client.Probe({kHost, w.port}, kSecond, [&](bool ok) { probed = ok; });
+  w.RunUntil([&] { return probed != -1; });
+  cr_assert_eq(probed, 0, "a full server is not reachable");
   w.server.reset_new_connections = false;
   cr_assert_eq(w.Run(call).fault, fetch_fault::kNone);
 }
--- a/tray/testing/relay_test.cc
+++ b/tray/testing/relay_test.cc
@@ -305,10 +305,100 @@
   h.AddService("s", 20);
   h.AddRoute({"s", "t"});
   MarkShardsUsed(&h.state.pool, *h.table, h.now);
+  SetHostCount(&h.state.pool, 49, 0);
+  cr_assert(PreconnectAll(&h).empty(), "49 connections of 48");
   SetHostCount(&h.state.pool, 25, 0);
+  cr_assert_eq(PreconnectAll(&h).size(), 1u, "50 would not fit");
   cr_assert(PreconnectAll(&h).empty());
   SetHostCount(&h.state.pool, 24, 0);
-  cr_assert_eq(PreconnectAll(&h).size(), 2u);
+  cr_assert_eq(PreconnectAll(&h).size(), 1u, "the second one");
+}
+
+// Each reply to a hedge leaves a connection. If those to third servers stayed
+// open, servers would be full of connections that are rarely used, and hosts
+// that start would find no room.
+Test(preconnect, unused_connections_beyond_the_standing_ones_are_closed) {
+  struct {
+    int hosts;
+    size_t standing;
+  } cases[] = {{195, 1}, {76, 2}};
+  for (const auto& [hosts, standing] : cases) {
+    test_host h;
+    h.AddService("s", 125);
+    SetHostCount(&h.state.pool, hosts, 0);
+    for (const char* id : {"s-a", "s-b", "s-c"}) {
+      relay_server* s = h.Server(id).get();
+      OnSent(s, 1, h.now);
+      OnServed(s, 1, nullptr, h.now);
+    }
+    cr_assert(SurplusConnections(h.state.pool, h.now).empty(), "just used");
+    h.now += kMaxSurplusIdle;
+    OnSent(h.Server("s-b").get(), 2, h.now);
+    h.now += kMaxSurplusIdle;
+    for (const server_ref& s : SurplusConnections(h.state.pool, h.now)) {
+      cr_assert_neq(s->info.id, "s-b", "it has an open attempt");
+    }
+    OnGivenUp(h.Server("s-b").get(), 2, false, h.now);
+    std::vector<server_ref> surplus = SurplusConnections(h.state.pool, h.now);
+    cr_assert_eq(surplus.size(), 3 - standing, "%d hosts", hosts);
+    for (const server_ref& s : surplus)
+      cr_assert_neq(s->info.id, "s-a", "the near one stays");
+  }
+}
+
+// ---- Full servers ----------------------------------------------------------
+
+// After a power loss of all hosts, servers still count the old connections and
+// reject new ones.
+Test(full_servers, request_without_places_is_rejected_at_once) {
+  test_host h;
+  for (const char* name : {"s", "t", "u", "v"}) h.AddService(name);
+  h.AddRoute({"s", "t", "u", "v"});  // three of them have to respond
+  for (const char* name : {"s", "t"}) {
+    relay_service* service = GetOrCreateService(&h.state.pool, name);
+    for (const server_ref& s : service->servers) {
+      OnSent(s.get(), 1, h.now);
+      OnServerFull(service, s.get(), 1, h.now);
+    }
+  }
+  relay_request req = h.NewRequest();
+  relay_actions actions = Start(&h, &req);
+  cr_assert(actions.sends.empty());
+  cr_assert(req.finished);
+  cr_assert_eq(req.outcome, relay_outcome::kNotRun);
+  // New connections are tried again after a moment.
+  h.now += kSecond;
+  relay_request later = h.NewRequest();
+  cr_assert_eq(Start(&h, &later).sends.size(), 4u);
+}
+
+Test(full_servers, open_connection_is_used_and_hedges_take_no_place) {
+  test_host h;
+  h.AddService("s");
+  h.AddRoute({"s"});
+  relay_service* service = GetOrCreateService(&h.state.pool, "s");
+  OnSent(h.Server("s-a").get(), 1, h.now);
+  OnServerFull(service, h.Server("s-a").get(), 1, h.now);
+  h.Server("s-b")->connected = true;
+  h.now += kSecond;  // s-a is tried again by hosts without a connection
+  relay_request req = h.NewRequest();
+  relay_actions actions = Start(&h, &req);
+  cr_assert_eq(actions.sends.size(), 1u);
+  cr_assert_eq(actions.sends[0].server->info.id, "s-b");
+  for (int i = 0; i < 100 && !req.finished; ++i) {
+    h.now += 5 * kMillisecond;
+    relay_actions late;
+    OnRelayTimer(&h.state, &req, h.now, &late);
+    cr_assert(late.sends.empty(), "a hedge would need a new connection");
+  }
+  // Without scarcity the request is hedged.
+  h.now += 10 * kSecond;
+  relay_request hedged = h.NewRequest();
+  Start(&h, &hedged);
+  h.now += 60 * kMillisecond;
+  relay_actions late;
+  OnRelayTimer(&h.state, &hedged, h.now, &late);
+  cr_assert_eq(late.sends.size(), 1u);
 }
 
 // After a power loss of all hosts, servers still count the old connections.
@@ -641,8 +731,9 @@
 Test(relay, non_idempotent_request_is_sent_again_only_if_not_run) {
   for (relay_attempt_outcome outcome :
        {relay_attempt_outcome::kRefused, relay_attempt_outcome::kMisplaced,
-        relay_attempt_outcome::kNotSent, relay_attempt_outcome::kBroken,
-        relay_attempt_outcome::kFailed, relay_attempt_outcome::kTimedOut}) {
+        relay_attempt_outcome::kNotSent, relay_attempt_outcome::kServerFull,
+        relay_attempt_outcome::kBroken, relay_attempt_outcome::kFailed,
+        relay_attempt_outcome::kTimedOut}) {
     test_host h;
     h.AddService("s");
     h.AddRoute({"s"}, request_kind::kNonIdempotent);
@@ -653,7 +744,8 @@
         Reply(&h, &req, first.sends[0].attempt, Ended(outcome));
     bool proven = outcome == relay_attempt_outcome::kRefused ||
                   outcome == relay_attempt_outcome::kMisplaced ||
-                  outcome == relay_attempt_outcome::kNotSent;
+                  outcome == relay_attempt_outcome::kNotSent ||
+                  outcome == relay_attempt_outcome::kServerFull;
     cr_assert_eq(
         second.sends.size(), proven ? 1u : 0u, "%s",
         std::string(NameOf(kRelayAttemptOutcomeNames, outcome)).c_str());
@@ -916,10 +1008,11 @@
         size_t at = random() % open.size();
         uint64_t attempt = open[at];
         open.erase(open.begin() + static_cast<long>(at));
-        auto outcome = static_cast<relay_attempt_outcome>(random() % 8);
+        auto outcome = static_cast<relay_attempt_outcome>(random() % 9);
         bool proven = outcome == relay_attempt_outcome::kRefused ||
                       outcome == relay_attempt_outcome::kMisplaced ||
                       outcome == relay_attempt_outcome::kNotSent ||
+                      outcome == relay_attempt_outcome::kServerFull ||
                       outcome == relay_attempt_outcome::kNoFreeConnection;
         if (proven) --may_have_run[part_of[attempt]];
         if (!proven) ran = true;
