--- a/tray/relay/relay.h
+++ b/tray/relay/relay.h
@@ -196,12 +196,6 @@
   std::unordered_map<std::string, std::vector<double>> target_weights;
 };
 
-// Part of the target latency that is reserved for delays that the host does not
-// see: the caller's connection setup, the network in both directions, and
-// scheduling delays of the caller. `new_connection`: the request is the first
-// on its connection, so that the caller has already spent a round trip on it.
-micros ResponseMargin(micros target_latency, bool new_connection);
-
 void StartRelay(relay_state* state, relay_request* req, micros now,
                 relay_actions* actions);
 void OnRelayAttemptEnd(relay_state* state, relay_request* req, uint64_t attempt,
--- a/tray/relayd/relay_worker.cc
+++ b/tray/relayd/relay_worker.cc
@@ -20,6 +20,7 @@
 #include "tray/base/log.h"
 #include "tray/base/strings.h"
 #include "tray/relay/merge.h"
+#include "tray/relay/retry.h"
 #include "tray/relay/retry_after.h"
 #include "tray/relayd/relay_dump.h"
 #include "tray/relayd/relay_log.h"
--- a/tray/testing/relay_load_model.cc
+++ b/tray/testing/relay_load_model.cc
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "tray/relay/relay.h"
+#include "tray/relay/retry.h"
 #include "tray/relay/retry_after.h"
 
 namespace baobabtray {
--- a/tray/testing/relay_test_host.h
+++ b/tray/testing/relay_test_host.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "tray/relay/relay.h"
+#include "tray/relay/retry.h"
 
 namespace baobabtray {
 
