--- a/tray/testing/relay_load_test.cc
+++ b/tray/testing/relay_load_test.cc
@@ -66,6 +66,23 @@
             burst.on_time, burst.requests);
 }
 
+// A server with few slots queues at a utilization at which others do not.
+Test(load, servers_with_few_slots_are_not_taken_for_overloaded) {
+  for (int slots : {1, 2, 8}) {
+    load_model_options options = Burst(1, 1);
+    options.slots = slots;
+    // 55% of the slots of three servers of each shard, without extra requests.
+    options.requests_per_s =
+        0.55 * 3 * slots * kSecond / static_cast<double>(options.work * 1.06);
+    options.pause = 0;
+    options.duration = 6 * kSecond;
+    load_model_result r = RunLoadModel(options);
+    load_model_second all = Sum(r, 1, 6);
+    cr_expect(Share(all.rejected, all.requests) <= 0.02,
+              "%d slots: %d of %d rejected", slots, all.rejected, all.requests);
+  }
+}
+
 Test(load, less_urgent_requests_are_rejected_first_but_not_all) {
   load_model_result r = RunLoadModel(Burst(3, 1));
   double urgent = Share(r.urgent.rejected, r.urgent.requests);
