Close only connections beyond two servers of a service

Change: two connections stay, whether or not all fit; the third is closed. Other deployments are not affected, two fit there.

--- a/tray/relay/preconnect.cc
+++ b/tray/relay/preconnect.cc
@@ -112,17 +112,16 @@
   std::vector<server_ref> surplus;
   for (const auto& [name, service] : pool.services) {
     if (service.limits.max_connections <= 0) continue;
-    auto standing = static_cast<size_t>(StandingConnections(pool, service));
     std::vector<server_ref> connected;
     for (const server_ref& s : service.servers) {
       if (s->connected) connected.push_back(s);
     }
-    if (connected.size() <= standing) continue;
+    if (connected.size() <= kPreconnectedServers) continue;
     std::sort(connected.begin(), connected.end(),
               [&](const server_ref& a, const server_ref& b) {
                 return IsPreferred(pool, *a, *b);
               });
-    for (size_t i = standing; i < connected.size(); ++i) {
+    for (size_t i = kPreconnectedServers; i < connected.size(); ++i) {
       const server_ref& s = connected[i];
       if (s->open_attempts.empty() && now - s->last_sent_at >= kMaxSurplusIdle)
         surplus.push_back(s);
--- a/tray/relay/preconnect.h
+++ b/tray/relay/preconnect.h
@@ -13,13 +13,13 @@
 // which spreads the hosts over the servers.
 //
 // A server's connection limit covers all hosts. If two connections per host do
-// not fit into the limits of a service's servers, a host keeps one, and none if
-// not even that fits. Other connections are closed once they are unused for
-// kMaxSurplusIdle: connections that are rarely used would fill the servers, and
-// after a power loss of all hosts, while servers still count the old
-// connections, hosts would find no room. During kStartupPeriod a host makes
-// only one ahead. At most kMaxPreconnectsPerRound are started per call, so that
-// a start stalls neither the host nor the servers. Cost: O(servers) per call.
+// not fit into the limits of a service's servers, a host makes one ahead, and
+// none if not even that fits; during kStartupPeriod it makes only one. Beyond
+// two, connections are closed once they are unused for kMaxSurplusIdle: rarely
+// used ones would fill the servers, and after a power loss of all hosts, while
+// servers still count the old connections, hosts would find no room. At most
+// kMaxPreconnectsPerRound are started per call, so that a start stalls neither
+// the host nor the servers. Cost: O(servers) per call.
 //
 //   for (server_ref s : SurplusConnections(pool, now))  // close idle ones to s
 
@@ -37,7 +37,7 @@
 
 constexpr size_t kMaxPreconnectsPerRound = 6;
 // Servers per service to which a host stays connected, if they fit.
-constexpr int kPreconnectedServers = 2;
+constexpr size_t kPreconnectedServers = 2;
 // Outlasts the gaps between requests while a server is slow.
 constexpr micros kMaxSurplusIdle = 1 * kSecond;
 
