--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -235,9 +235,9 @@
             "service": service, "max_attempts": 2, "allowed_regions": []}
 
 
-def service(name, max_connections=96):
+def service(name, max_connections=96, cold_per_s=0.0):
     return {"name": name, "health_path": "/health", "max_connections": max_connections,
-            "protocol": "h1", "tls": False, "warmup_s": 3.0, "cold_per_s": 0.0}
+            "protocol": "h1", "tls": False, "warmup_s": 3.0, "cold_per_s": cold_per_s}
 
 
 def config(version, routes, services, max_body_bytes=262144):
@@ -254,7 +254,8 @@
 class Host:
     """One host, started with the command and the template of the deploy file."""
 
-    def __init__(self, store_port, folder, name="frontend-bogota-norte-1"):
+    def __init__(self, store_port, folder, name="frontend-bogota-norte-1",
+                 zone="bogota-norte"):
         program = os.path.join(ROOT, "target", "baobabtrayd")
         if not os.access(program, os.X_OK):
             raise FileNotFoundError(program)
@@ -267,7 +268,7 @@
             r"\{\{#zones\}\}(.*?)\{\{/zones\}\}",
             lambda m: "".join(m[1].replace("{{@}}", z).replace("{{.}}", r)
                               for z, r in zones.items()), template, flags=re.S)
-        values = {"node_name": name, "zone": "bogota-norte", "region": "andina",
+        values = {"node_name": name, "zone": zone, "region": zones[zone],
                   "listen.frontend": f"127.0.0.1:{self.port}",
                   "listen.ready": f"127.0.0.1:{self.ready}", "ip": "127.0.0.1",
                   "internal_ports.0": self.peers, "internal_ports.1": self.admin,
