Keep a connection out of its pool until its request is written whole

Cause: relay_client took a connection for idle once the reply was whole, while an asynchronous write of the rest of the request was pending. Evidence: with a single connection the foreign bytes begin with the next request's line; SendRest owned a copy of the bytes, so they were not freed or reused; libcurl's client and the sessions of callers pass the same tests without a change.

Change: such a connection is kept apart until the write has ended. The request's deadline still bounds it, and a rejected request gives way to one that waits for a connection. The rest is written from the attempt's own body, without a copy. Two orders of operations of the same class are corrected on the way (a connection read after its close, work posted by the destructor).

No new connection where the server reads on.

--- a/tray/http/relay_client.cc
+++ b/tray/http/relay_client.cc
@@ -3,6 +3,11 @@
 // Each connection always has one read pending, even when idle, so that a close
 // by the server is noticed at once and no check is needed before the next
 // request.
+//
+// A reply may arrive before its request is written whole: a server may answer
+// before it has read a long body. Such a connection is not idle. It goes back
+// to its pool once the rest is written, and is closed if the request's deadline
+// passes first.
 
 #include "tray/http/relay_client.h"
 
@@ -41,12 +46,22 @@
 constexpr micros kDeadlineGranularity = 50 * kMillisecond;
 // Fits headers and body of a typical part of a merged answer.
 constexpr size_t kReadBytes = 4096;
+// Replies with this status or a higher one report errors.
+constexpr int kFirstErrorStatus = 400;
 // A reset may arrive this much later than the time it took to connect.
 constexpr micros kFirstSendMargin = 500;
 
 struct connection;
 using connection_ref = std::shared_ptr<connection>;
 
+// A request of which the socket did not accept all bytes at once. Keeps the
+// bytes until they are written.
+struct partial_request {
+  std::shared_ptr<const std::string> head;
+  std::string attempt_headers;
+  std::shared_ptr<const std::string> body;  // may be null
+};
+
 struct transfer {
   uint64_t id = 0;
   relay_call call;
@@ -65,7 +80,8 @@
   int connections = 0;  // including those still connecting
   int connected = 0;    // of `connections`, those established
   micros max_idle = kMaxIdle;
-  std::vector<connection_ref> idle;  // most recently used last
+  // Most recently used last. No write is pending on these.
+  std::vector<connection_ref> idle;
   std::deque<transfer_ref> waiting;
 };
 
@@ -79,12 +95,28 @@
   bool connected = false;
   bool first_send_delayed = false;  // established, first send is delayed
   bool closed = false;
-  std::string previous_id;  // id of the previous request on it
+  bool write_pending = false;  // part of the last request is not written yet
+  // Id of the transfer whose reply arrived while the write was pending; 0:
+  // none. The connection is then in `unwritten_` of its client and has no
+  // transfer.
+  uint64_t unwritten_id = 0;
+  micros write_deadline = 0;  // of that transfer
+  bool rejected = false;      // that reply was an error
+  std::string previous_id;    // id of the previous request on it
   micros idle_since = 0;
   reply_reader reader;
   std::array<char, kReadBytes> buffer;
 };
 
+// The request as it is written, without copying it.
+std::array<asio::const_buffer, 4> BuffersOf(const std::string& head,
+                                            const std::string& attempt_headers,
+                                            const std::string* body) {
+  return {asio::buffer(head), asio::buffer(attempt_headers),
+          asio::buffer("\r\n", 2),
+          body == nullptr ? asio::const_buffer() : asio::buffer(*body)};
+}
+
 uint64_t PoolKey(const tcp::endpoint& to) {
   return uint64_t{to.address().to_v4().to_uint()} << 16 | to.port();
 }
@@ -98,6 +130,7 @@
         deadlines_(loop, [this](uint64_t id, micros) { OnDeadline(id); }) {}
 
   ~impl() {
+    for (auto& [key, p] : pools_) p->waiting.clear();
     while (!connections_.empty()) Close(*connections_.begin());
   }
 
@@ -158,9 +191,9 @@
   }
 
   // Sends the request on an idle connection, else on a new one if the limit
-  // allows it, else queues it until one becomes free. If the request needs a
-  // new connection and the limit is reached, the oldest idle one is closed for
-  // it.
+  // allows it, else queues it until one becomes free. If the limit is reached,
+  // a connection whose request was rejected before it was written is closed for
+  // it, and if the request needs a new connection, the oldest idle one.
   void Dispatch(pool* p, transfer_ref t) {
     bool needs_new = t->call.new_connection || t->on_probe_done;
     while (!needs_new && !p->idle.empty()) {
@@ -175,11 +208,21 @@
     if (p->connections >= p->max_connections && needs_new && !p->idle.empty()) {
       Close(p->idle.front());
     }
+    if (p->connections >= p->max_connections) CloseRejected(p);
     if (p->connections < p->max_connections) return Connect(p, std::move(t));
     AddDeadline(t->start + t->call.connect_timeout, t->id);
     p->waiting.push_back(std::move(t));
   }
 
+  // Closes a connection on which the rest of a rejected request is being
+  // written, if there is one. The server does not need the rest; that of a
+  // request that it has served it may.
+  void CloseRejected(pool* p) {
+    for (const auto& [id, c] : unwritten_) {
+      if (c->owning_pool == p && c->rejected) return Close(c);
+    }
+  }
+
   // Whether the connection was idle for too long or exceeds the limit.
   static bool MustClose(const connection& c) {
     return SteadyNow() - c.idle_since > c.owning_pool->max_idle ||
@@ -241,6 +284,7 @@
   }
 
   void CompleteProbe(const connection_ref& c, const transfer_ref& t) {
+    Detach(c);
     ReleaseToPool(c);
     Complete(t, fetch_fault::kNone);
   }
@@ -255,29 +299,45 @@
                      .id_header = t->call.id_header,
                      .previous_id = c->previous_id,
                      .no_body = t->call.no_reply_body});
-    static const std::string kNoBody;
     const relay_call& call = t->call;
-    const std::string& body = call.body == nullptr ? kNoBody : *call.body;
-    std::array<asio::const_buffer, 4> parts = {
-        asio::buffer(*call.head), asio::buffer(call.attempt_headers),
-        asio::buffer("\r\n", 2), asio::buffer(body)};
+    auto buffers = BuffersOf(*call.head, call.attempt_headers, call.body.get());
     std::error_code error;
-    size_t sent = c->socket.send(parts, 0, error);
+    size_t sent = c->socket.send(buffers, 0, error);
     if (error && error != asio::error::would_block) {
       CloseAndDetach(c);
       return false;
     }
-    if (sent < asio::buffer_size(parts)) SendRest(c, t, sent);
+    if (sent < asio::buffer_size(buffers)) SendRest(c, call, sent);
     return true;
   }
 
-  void SendRest(const connection_ref& c, const transfer_ref& t, size_t sent) {
-    auto rest = std::make_shared<std::string>(*t->call.head);
-    *rest += t->call.attempt_headers + "\r\n";
-    if (t->call.body != nullptr) *rest += *t->call.body;
-    // A failure is reported by the pending read.
-    asio::async_write(c->socket, asio::buffer(*rest) + sent,
-                      [c, rest](std::error_code, size_t) {});
+  // Writes the request from byte `sent` on.
+  void SendRest(const connection_ref& c, const relay_call& call, size_t sent) {
+    auto request = std::make_shared<partial_request>(
+        partial_request{call.head, call.attempt_headers, call.body});
+    std::vector<asio::const_buffer> rest;
+    for (asio::const_buffer part : BuffersOf(
+             *request->head, request->attempt_headers, request->body.get())) {
+      size_t written = std::min(sent, part.size());
+      sent -= written;
+      rest.push_back(part + written);
+    }
+    c->write_pending = true;
+    asio::async_write(c->socket, rest,
+                      [this, c, request](std::error_code error, size_t) {
+                        OnWritten(c, error);
+                      });
+  }
+
+  void OnWritten(const connection_ref& c, std::error_code error) {
+    if (c->closed) return;
+    c->write_pending = false;
+    // While the request is open, the pending read reports a failure.
+    if (c->unwritten_id == 0) return;
+    if (error) return Close(c);
+    unwritten_.erase(c->unwritten_id);
+    c->unwritten_id = 0;
+    ReleaseToPool(c);
   }
 
   void Read(const connection_ref& c) {
@@ -326,7 +386,12 @@
     }
     if (no_extra_bytes && c->reader.keep_alive()) {
       c->previous_id = t->call.id;
-      ReleaseToPool(c);
+      Detach(c);
+      if (c->write_pending) {
+        ReleaseOnceWritten(c, *t);
+      } else {
+        ReleaseToPool(c);
+      }
       if (!c->closed) Read(c);
     } else {
       CloseAndDetach(c);
@@ -340,11 +405,24 @@
 
   // ---- Completion ----------------------------------------------------------
 
+  static void Detach(const connection_ref& c) {
+    c->current->conn = nullptr;
+    c->current = nullptr;
+  }
+
+  // The reply to `t` is complete, but the request is not written whole.
+  void ReleaseOnceWritten(const connection_ref& c, const transfer& t) {
+    c->unwritten_id = t.id;
+    c->write_deadline = t.start + t.call.timeout;
+    c->rejected = t.result.status >= kFirstErrorStatus;
+    unwritten_[t.id] = c;
+    if (c->rejected && !c->owning_pool->waiting.empty()) Close(c);
+  }
+
   // Returns the connection to the pool, and serves the next waiting request.
+  // Nothing may be left to write.
   void ReleaseToPool(const connection_ref& c) {
     pool* p = c->owning_pool;
-    c->current->conn = nullptr;
-    c->current = nullptr;
     if (p->connections > p->max_connections) return Close(c);
     c->idle_since = SteadyNow();
     p->idle.push_back(c);
@@ -376,6 +454,7 @@
     --p->connections;
     if (c->connected) --p->connected;
     std::erase(p->idle, c);
+    if (c->unwritten_id != 0) unwritten_.erase(c->unwritten_id);
     connections_.erase(c);
     // Posted, since the caller may be changing the pool or a transfer.
     if (!p->waiting.empty())
@@ -409,7 +488,12 @@
 
   void OnDeadline(uint64_t id) {
     auto found = transfers_.find(id);
-    if (found != transfers_.end()) CheckDeadline(found->second, SteadyNow());
+    if (found != transfers_.end())
+      return CheckDeadline(found->second, SteadyNow());
+    auto unwritten = unwritten_.find(id);
+    if (unwritten == unwritten_.end()) return;
+    connection_ref c = unwritten->second;
+    if (SteadyNow() >= c->write_deadline) Close(c);
   }
 
   void CheckDeadline(transfer_ref t, micros now) {
@@ -425,8 +509,8 @@
       return Complete(t, fetch_fault::kNotSent);
     }
     if (now < t->start + t->call.timeout) return;
-    CloseOrDequeue(t);
     bool sent = c != nullptr && c->connected && !c->first_send_delayed;
+    CloseOrDequeue(t);
     Complete(t, sent ? fetch_fault::kTimedOut : fetch_fault::kNotSent);
   }
 
@@ -436,6 +520,8 @@
   std::unordered_map<uint64_t, std::unique_ptr<pool>> pools_;
   std::unordered_map<uint64_t, transfer_ref> transfers_;
   std::unordered_set<connection_ref> connections_;
+  // By id of the transfer; see connection::unwritten_id.
+  std::unordered_map<uint64_t, connection_ref> unwritten_;
   uint64_t connections_opened_ = 0;
 };
 
--- a/tray/http/relay_client.h
+++ b/tray/http/relay_client.h
@@ -17,6 +17,11 @@
 // which some servers send, is skipped; any other unexpected reply closes the
 // connection.
 //
+// A server may answer before it has read a long request. The connection then
+// carries the next request only after the rest of this one; if the server does
+// not read it before the request's timeout, or rejected the request and the
+// connection is needed for another one, it is closed instead.
+//
 // All calls and callbacks happen on the loop's thread.
 
 #ifndef TRAY_HTTP_RELAY_CLIENT_H_
--- a/tray/testing/http_test.cc
+++ b/tray/testing/http_test.cc
@@ -322,6 +322,56 @@
   RunUntil(loop, [&] { return (*server)->unanswered() == 0; });
 }
 
+// Guards against a response that is written while part of an earlier one on the
+// same connection is still unwritten.
+Test(serve, responses_to_a_slow_reader_are_not_mixed) {
+  constexpr size_t kLongBody = 4'000'000;
+  constexpr int kRounds = 3;
+  asio::io_context loop(1);
+  std::vector<std::pair<std::string, responder>> held;
+  auto server = http_server::Start(
+      loop, {.listen = {kHost, 17134}, .on_close = [](uint64_t) {}},
+      [&](http_request r, responder respond) {
+        held.emplace_back(r.path, std::move(respond));
+        if (held.size() < 2) return;
+        // The second request of a pair is answered first.
+        for (int i : {1, 0}) {
+          char mark = held[i].first == "/a" ? 'a' : 'b';
+          held[i].second({.body = std::string(kLongBody, mark)});
+        }
+        held.clear();
+      });
+  cr_assert(server.ok());
+  asio::ip::tcp::socket socket(loop);
+  socket.open(asio::ip::tcp::v4());
+  socket.set_option(asio::socket_base::receive_buffer_size(4096));
+  socket.connect({asio::ip::make_address(kHost), 17134});
+  std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  std::string pair = request + request;
+  pair[request.size() + 5] = 'b';
+  std::string received;
+  for (int round = 0; round < kRounds; ++round) {
+    asio::write(socket, asio::buffer(pair));
+    loop.run_for(std::chrono::milliseconds(30));  // nothing is read meanwhile
+    for (char mark : {'a', 'b'}) {
+      bool read = false;
+      asio::async_read_until(
+          socket, asio::dynamic_buffer(received), "\r\n\r\n",
+          [&](std::error_code, size_t head) {
+            received.erase(0, head);
+            size_t missing = kLongBody - std::min(kLongBody, received.size());
+            asio::async_read(socket, asio::dynamic_buffer(received),
+                             asio::transfer_exactly(missing),
+                             [&](std::error_code, size_t) { read = true; });
+          });
+      RunUntil(loop, [&] { return read; });
+      cr_assert(received.substr(0, kLongBody) == std::string(kLongBody, mark),
+                "round %d, response to /%c", round, mark);
+      received.erase(0, kLongBody);
+    }
+  }
+}
+
 Test(serve, port_in_use_is_an_error) {
   asio::io_context loop(1);
   test_http_server other(
