Don't announce a host whose lease is granted after it has left

Found by looking for operations that outlive what they belong to. A stop while the call for a lease was open ended no lease, and its answer announced the host: it stayed listed, with a share of all limits, until the lease ended 30 s later.

Measured: store_watcher/host_that_leaves_before_its_lease_is_not_announced failed before.

--- a/tray/relayd/store_watcher.cc
+++ b/tray/relayd/store_watcher.cc
@@ -353,6 +353,7 @@
     if (end != store_status::kOk) {
       return RunAfter(Backoff(++lease_failures_), [this] { OpenLease(); });
     }
+    if (leaving_) return store_.end_lease(lease);
     lease_ = lease;
     Announce();
   });
--- a/tray/testing/relayd_test.cc
+++ b/tray/testing/relayd_test.cc
@@ -224,6 +224,17 @@
   fx.RunUntil([&] { return fx.store.Has("baobabtray/hosts/me"); });
 }
 
+// Guards against a host that announces itself after it has left, since the
+// store grants its lease only then.
+Test(store_watcher, host_that_leaves_before_its_lease_is_not_announced) {
+  watcher_fixture fx(17408);
+  fx.watcher.Start();
+  fx.watcher.Deregister();
+  fx.RunUntil([&] { return fx.store.CallCount("/-/kv-lease") > 0; });
+  fx.loop.run_for(std::chrono::milliseconds(200));
+  cr_assert_not(fx.store.Has("baobabtray/hosts/me"));
+}
+
 Test(store_watcher, fleet_size_persists_after_leases_end) {
   watcher_fixture fx(17404);
   fx.store.Put("baobabtray/hosts/other", "{}");
