Count the drain period of a server from the change, not from learning of it

Cause: a follower learns of the removal up to 2.66 s late, and RemoveServer added a last use of 2.5 s from then; an entry that says leaving added 0.75 s.

Change: updates of servers carry a lower bound on the time of the change, from what the host knew before, and drain periods count from it. A host that waited at the store dates the change by the answer.

--- a/tray/relay/ports.h
+++ b/tray/relay/ports.h
@@ -124,11 +124,15 @@
 struct routes_update {
   std::shared_ptr<const route_table> table;
 };
+// `made_after` (steady clock): the change was made after this time, which may
+// be long before it is learned; 0: unknown.
 struct server_update {
   registered_server server;
+  micros made_after = 0;
 };
 struct server_removal {
   std::string id;
+  micros made_after = 0;
 };
 struct data_centre_update {
   std::string data_centre;
--- a/tray/relay/servers.cc
+++ b/tray/relay/servers.cc
@@ -13,9 +13,8 @@
 // A live server registers itself again within two seconds of the loss of its
 // entry.
 constexpr micros kReregistrationTime = 2500 * kMillisecond;
-// Part of the drain period in which no request is sent to the server: the
-// change took time to reach this host, and a request takes time to reach the
-// server.
+// Part of the drain period in which no request is sent to the server, since a
+// request takes time to reach it.
 constexpr micros kDrainMargin = 500 * kMillisecond;
 // Divisor of the drain period: leaving servers are used for this part of it if
 // no other is available, for example while the shards of an older version
@@ -161,7 +160,8 @@
 
 }  // namespace
 
-void UpsertServer(relay_pool* pool, registered_server entry, micros now) {
+void UpsertServer(relay_pool* pool, registered_server entry, micros now,
+                  micros made_after) {
   server_ref& s = pool->servers_by_id[entry.id];
   bool known = s != nullptr;
   // An entry whose write was delayed is out of date.
@@ -191,20 +191,37 @@
   } else if (!was_leaving) {
     // The time at which a previously unknown server started to leave is
     // unknown, and this host may have learned of the change late.
-    s->drain_deadline =
-        known ? now + pool->drain_period / kDrainUseDivisor : now;
+    s->drain_deadline = known ? LeavingDeadline(*pool, made_after, now) : now;
   }
   if (!known) GetOrCreateService(pool, s->info.service)->servers.push_back(s);
 }
 
-void RemoveServer(relay_pool* pool, std::string_view id, micros now) {
+micros LapsedDeadline(const relay_pool& pool, micros made_after, micros now) {
+  micros in_use = pool.drain_period - kDrainMargin;
+  micros latest = now + std::min(kReregistrationTime, in_use);
+  return made_after == 0 ? latest : std::min(latest, made_after + in_use);
+}
+
+micros LeavingDeadline(const relay_pool& pool, micros made_after, micros now) {
+  micros latest = now + pool.drain_period / kDrainUseDivisor;
+  return made_after == 0
+             ? latest
+             : std::min(latest, made_after + pool.drain_period - kDrainMargin);
+}
+
+bool MayStillSend(const relay_pool& pool, const relay_server& s, micros now) {
+  return !s.misplaced && !pool.out_of_service.contains(s.info.data_centre) &&
+         now < DrainDeadline(pool, s);
+}
+
+void RemoveServer(relay_pool* pool, std::string_view id, micros now,
+                  micros made_after) {
   auto found = pool->servers_by_id.find(std::string(id));
   if (found == pool->servers_by_id.end()) return;
   relay_server& s = *found->second;
   if (s.lapsed) return;
   s.lapsed = true;
-  micros latest =
-      now + std::min(kReregistrationTime, pool->drain_period - kDrainMargin);
+  micros latest = LapsedDeadline(*pool, made_after, now);
   s.drain_deadline =
       s.info.leaving ? std::min(s.drain_deadline, latest) : latest;
 }
--- a/tray/relay/servers.h
+++ b/tray/relay/servers.h
@@ -1,7 +1,7 @@
 // Registered backend servers as one host sees them, and server selection.
 //
-//   UpsertServer(&pool, entry, now);         // an entry was written
-//   RemoveServer(&pool, id, now);            // it was deleted or has expired
+//   UpsertServer(&pool, entry, now, made_after);  // an entry was written
+//   RemoveServer(&pool, id, now, made_after);     // it was deleted or expired
 //   server_ref s = PickServer(&pool, {.service = "a", .now = now}, nullptr);
 //   OnSent(s.get(), attempt, now);
 //   OnServed(s.get(), attempt, load, now);   // or OnFailed, OnRefused, ...
@@ -146,10 +146,20 @@
   std::unordered_map<std::string, route_latency> latency;  // by route name
 };
 
-// Adds a server or updates its entry.
-void UpsertServer(relay_pool* pool, registered_server entry, micros now);
+// Adds a server or updates its entry. `made_after`: the store made the change
+// after this time, from which the drain period counts; 0: unknown.
+void UpsertServer(relay_pool* pool, registered_server entry, micros now,
+                  micros made_after = 0);
 // Marks the server's entry as missing and starts its drain period.
-void RemoveServer(relay_pool* pool, std::string_view id, micros now);
+void RemoveServer(relay_pool* pool, std::string_view id, micros now,
+                  micros made_after = 0);
+// Time until which a server without an entry may be used, if its entry was
+// removed after `made_after` and this is learned now.
+micros LapsedDeadline(const relay_pool& pool, micros made_after, micros now);
+// The same for an entry that says that the server leaves.
+micros LeavingDeadline(const relay_pool& pool, micros made_after, micros now);
+// Whether a request for which the server was picked may be sent to it now.
+bool MayStillSend(const relay_pool& pool, const relay_server& s, micros now);
 // Deletes servers without an entry whose drain deadline has passed. Open
 // attempts keep their server's state alive.
 void RemoveExpiredServers(relay_pool* pool, micros now);
--- a/tray/relayd/change_source.cc
+++ b/tray/relayd/change_source.cc
@@ -52,7 +52,8 @@
   change_limit = std::clamp(change_limit, kMinChangeLimit, kMaxChangeLimit);
   return {.hub_refresh = Fraction(change_limit, kHubRefreshFraction),
           .max_hub_age = Fraction(change_limit, kMaxHubAgeFraction),
-          .max_age = Fraction(change_limit, kMaxAgeFraction)};
+          .max_age = Fraction(change_limit, kMaxAgeFraction),
+          .change_limit = change_limit};
 }
 
 source_step NextStep(change_source* source,
@@ -89,8 +90,26 @@
   return waited ? asked_at + wait : asked_at;
 }
 
-void OnStoreAnswer(change_source* source, micros as_of) {
+micros PromptTime(micros asked_at, micros wait, micros now) {
+  bool late = now > asked_at + wait + kPromptStoreAnswer;
+  return late ? 0 : now - kPromptStoreAnswer;
+}
+
+micros ChangesMadeAfter(const change_source& source, micros now) {
+  micros known = std::max(source.as_of, source.prompt_as_of);
+  return now - known > source.timing.change_limit ? 0 : known;
+}
+
+micros StoreChangesMadeAfter(const change_source& source, micros asked_at,
+                             micros wait, micros now) {
+  micros bound = ChangesMadeAfter(source, now);
+  if (now <= asked_at + kPromptStoreAnswer) return bound;
+  return std::max(bound, PromptTime(asked_at, wait, now));
+}
+
+void OnStoreAnswer(change_source* source, micros as_of, micros prompt_as_of) {
   source->as_of = std::max(source->as_of, as_of);
+  source->prompt_as_of = std::max({source->prompt_as_of, as_of, prompt_as_of});
   source->store_failed_at = 0;
   source->store_failures = 0;
 }
--- a/tray/relayd/change_source.h
+++ b/tray/relayd/change_source.h
@@ -16,6 +16,12 @@
 // time thus stays true through chains and loops of hosts, lost requests,
 // answers that arrive late and hosts that freeze.
 //
+// A change may be learned long after it was made, for example from the second
+// host that is asked. What counts from the change, such as the drain period of
+// a server that was removed, therefore counts from a lower bound on its time:
+// ChangesMadeAfter and StoreChangesMadeAfter. docs/design/time-limits.md adds
+// up what follows from it.
+//
 // A host whose knowledge is older than max_age asks the store itself, whatever
 // its hubs do. max_age plus the time limit of that question is less than
 // change_limit, so a host that the store answers knows each change in time,
@@ -35,6 +41,9 @@
 
 // Time limit of a question that the store is to answer at once.
 constexpr micros kStoreAnswerLimit = 800 * kMillisecond;
+// A store that is well sends a change within this time to a host that waits for
+// it.
+constexpr micros kPromptStoreAnswer = 200 * kMillisecond;
 // Time allowed for a hub's answer beyond the wait. Both ends are in one data
 // centre, and the hub may be busy for some tens of milliseconds.
 constexpr micros kHubAnswerLimit = 400 * kMillisecond;
@@ -54,9 +63,10 @@
 
 // Ages of knowledge, in ascending order.
 struct source_timing {
-  micros hub_refresh = 0;  // a hub asks the store again by then
-  micros max_hub_age = 0;  // a hub with older knowledge is left
-  micros max_age = 0;      // a host with older knowledge asks the store itself
+  micros hub_refresh = 0;   // a hub asks the store again by then
+  micros max_hub_age = 0;   // a hub with older knowledge is left
+  micros max_age = 0;       // a host with older knowledge asks the store itself
+  micros change_limit = 0;  // a change is known by then
 };
 
 // `change_limit`: time within which a change is to be known by all hosts that
@@ -68,7 +78,9 @@
 struct change_source {
   source_timing timing;
   hub_choice choice;
-  micros as_of = 0;            // all changes made before are known; 0: none
+  micros as_of = 0;  // all changes made before are known; 0: none
+  // The same if the store and the way to it are well, which no answer proves.
+  micros prompt_as_of = 0;
   micros store_failed_at = 0;  // when the last unanswered question was asked
   int store_failures = 0;      // in a row
 };
@@ -89,8 +101,22 @@
 // answer without changes was given after the wait, one with changes may have
 // been on its way for long.
 micros ProvenTime(micros asked_at, micros wait, bool any_changes, micros now);
+// Time before which the store has made all its changes that the answer lacks,
+// if it sends them promptly; 0 if the answer was late.
+micros PromptTime(micros asked_at, micros wait, micros now);
+
+// The changes in an answer that arrives now were made after this time; 0:
+// unknown, since nothing was heard from the store for longer than the change
+// limit. To be called before the answer is reported.
+micros ChangesMadeAfter(const change_source& source, micros now);
+// The same for an answer of the store. If it came during the wait, it was sent
+// as its first change was made. Only this host may rely on that: it can't tell
+// that it was frozen itself.
+micros StoreChangesMadeAfter(const change_source& source, micros asked_at,
+                             micros wait, micros now);
 
-void OnStoreAnswer(change_source* source, micros as_of);
+// `prompt_as_of`: see PromptTime.
+void OnStoreAnswer(change_source* source, micros as_of, micros prompt_as_of);
 // A question that was asked at `asked_at` was not answered.
 void OnStoreFailure(change_source* source, const registered_host& own,
                     micros asked_at, micros now);
--- a/tray/relayd/relay_routing_state.cc
+++ b/tray/relayd/relay_routing_state.cc
@@ -11,6 +11,12 @@
 namespace baobabtray {
 namespace {
 
+// How long ago a change was made at most, for log lines.
+std::string AgeMs(micros made_after, micros now) {
+  return made_after == 0 ? "unknown"
+                         : std::to_string((now - made_after) / kMillisecond);
+}
+
 void Apply(relay_routing_state*, const ignored_item&, micros) {}
 
 void Apply(relay_routing_state* s, const routes_update& f, micros now) {
@@ -26,13 +32,16 @@
 void Apply(relay_routing_state* s, const server_update& f, micros now) {
   log_level level = f.server.leaving ? log_level::kInfo : log_level::kDebug;
   Log(level, f.server.leaving ? "server_leaving" : "server_registered",
-      {{"server", f.server.id}, {"service", f.server.service}});
-  UpsertServer(&s->relay.pool, f.server, now);
+      {{"server", f.server.id},
+       {"service", f.server.service},
+       {"learned_within_ms", AgeMs(f.made_after, now)}});
+  UpsertServer(&s->relay.pool, f.server, now, f.made_after);
 }
 
 void Apply(relay_routing_state* s, const server_removal& f, micros now) {
-  Log(log_level::kInfo, "server_removed", {{"server", f.id}});
-  RemoveServer(&s->relay.pool, f.id, now);
+  Log(log_level::kInfo, "server_removed",
+      {{"server", f.id}, {"learned_within_ms", AgeMs(f.made_after, now)}});
+  RemoveServer(&s->relay.pool, f.id, now, f.made_after);
 }
 
 void Apply(relay_routing_state* s, const data_centre_update& f, micros) {
--- a/tray/relayd/store_watcher.cc
+++ b/tray/relayd/store_watcher.cc
@@ -83,8 +83,8 @@
   return delay / 2 + static_cast<micros>(random_() % delay);
 }
 
-void store_watcher::OnStoreAnswered(micros as_of) {
-  OnStoreAnswer(&source_, as_of);
+void store_watcher::OnStoreAnswered(micros as_of, micros prompt_as_of) {
+  OnStoreAnswer(&source_, as_of, prompt_as_of);
   if (failures_ == 0) return;
   Log(log_level::kInfo, "store_reachable",
       {{"failures", std::to_string(failures_)},
@@ -150,8 +150,9 @@
   listing_.clear();
   bool first = revision_ == 0;
   if (first) log_.Reset(listing_revision_);
-  OnStoreAnswered(listing_started_at_);
-  ApplyChanges(std::move(items), listing_revision_);
+  micros made_after = ChangesMadeAfter(source_, SteadyNow());
+  OnStoreAnswered(listing_started_at_, 0);
+  ApplyChanges(std::move(items), listing_revision_, made_after);
   if (first) return RunAfter(kFirstWatchDelay, [this] { Watch(); });
   Watch();
 }
@@ -207,8 +208,9 @@
                                 change_batch batch) {
   if (!batch.large.empty())
     return FetchLargeValues(hub, as_of, std::move(batch));
+  micros made_after = ChangesMadeAfter(source_, SteadyNow());
   bool keep = OnHubAnswer(&source_, hub, as_of, SteadyNow());
-  ApplyChanges(std::move(batch.items), batch.revision);
+  ApplyChanges(std::move(batch.items), batch.revision, made_after);
   if (!keep) LogAbandonedHub(hub, "the hub has lost contact with the store");
   Watch();
 }
@@ -250,7 +252,7 @@
 }
 
 void store_watcher::ApplyChanges(std::vector<stored_item> items,
-                                 uint64_t revision) {
+                                 uint64_t revision, micros made_after) {
   // A listing after lost history includes all changes since revision_, so
   // followers need no listing of their own.
   std::vector<stored_item> changes;
@@ -258,32 +260,37 @@
     if (item.revision > revision_) changes.push_back(item);
   }
   log_.Append(changes, revision);
-  DeliverItems(std::move(items));
+  DeliverItems(std::move(items), made_after);
   revision_ = std::max(revision_, revision);
   change_feed_.NotifyAdvanced();
 }
 
 void store_watcher::WatchStore(const source_step& step) {
   micros asked_at = SteadyNow();
-  store_.watch(revision_, step.wait, step.limit,
-               [this, asked_at, wait = step.wait](store_read_result changes) {
-                 if (changes.status == store_status::kCompacted) {
-                   Log(log_level::kInfo, "store_history_lost",
-                       {{"revision", std::to_string(revision_)}});
-                   return StartListing();
-                 }
-                 if (changes.status != store_status::kOk) {
-                   return RetryAfterFailure(changes.error_message, asked_at);
-                 }
-                 bool any = !changes.items.empty();
-                 OnStoreAnswered(ProvenTime(asked_at, wait, any, SteadyNow()));
-                 ApplyChanges(std::move(changes.items), changes.revision);
-                 if (any) return RunAfter(kBatchInterval, [this] { Watch(); });
-                 Watch();
-               });
+  store_.watch(
+      revision_, step.wait, step.limit,
+      [this, asked_at, wait = step.wait](store_read_result changes) {
+        if (changes.status == store_status::kCompacted) {
+          Log(log_level::kInfo, "store_history_lost",
+              {{"revision", std::to_string(revision_)}});
+          return StartListing();
+        }
+        if (changes.status != store_status::kOk) {
+          return RetryAfterFailure(changes.error_message, asked_at);
+        }
+        bool any = !changes.items.empty();
+        micros now = SteadyNow();
+        micros made_after = StoreChangesMadeAfter(source_, asked_at, wait, now);
+        OnStoreAnswered(ProvenTime(asked_at, wait, any, now),
+                        PromptTime(asked_at, wait, now));
+        ApplyChanges(std::move(changes.items), changes.revision, made_after);
+        if (any) return RunAfter(kBatchInterval, [this] { Watch(); });
+        Watch();
+      });
 }
 
-void store_watcher::DeliverItems(std::vector<stored_item> items) {
+void store_watcher::DeliverItems(std::vector<stored_item> items,
+                                 micros made_after) {
   std::vector<store_update> updates;
   for (const stored_item& item : items) {
     auto known = known_.find(item.key);
@@ -313,6 +320,12 @@
         hosts_.erase(name);
       }
     }
+    if (auto* server = std::get_if<server_update>(&update)) {
+      server->made_after = made_after;
+    }
+    if (auto* removal = std::get_if<server_removal>(&update)) {
+      removal->made_after = made_after;
+    }
     if (const auto* size = std::get_if<fleet_size_update>(&update)) {
       recorded_hosts_ = size->hosts;
     }
--- a/tray/relayd/store_watcher.h
+++ b/tray/relayd/store_watcher.h
@@ -78,11 +78,14 @@
   void LogAbandonedHub(const std::string& hub, std::string_view problem) const;
   // Time since as_of(), for log lines.
   std::string AgeMs() const;
-  void ApplyChanges(std::vector<stored_item> items, uint64_t revision);
-  void DeliverItems(std::vector<stored_item> items);
+  // `made_after`: see server_update.
+  void ApplyChanges(std::vector<stored_item> items, uint64_t revision,
+                    micros made_after);
+  void DeliverItems(std::vector<stored_item> items, micros made_after);
   void RetryAfterFailure(const std::string& problem, micros asked_at);
-  // The store has sent all changes made before `as_of`.
-  void OnStoreAnswered(micros as_of);
+  // The store has sent all changes made before `as_of`, and before
+  // `prompt_as_of` if it is well.
+  void OnStoreAnswered(micros as_of, micros prompt_as_of);
   void OpenLease();
   void Announce();
   void ReviewFleetSize();
--- a/tray/testing/change_source_test.cc
+++ b/tray/testing/change_source_test.cc
@@ -21,6 +21,8 @@
 #include <set>
 #include <string>
 
+#include "tray/relay/servers.h"
+
 using namespace baobabtray;  // NOLINT: test file
 
 namespace {
@@ -66,6 +68,11 @@
   bool refuses = false;
   micros change_limit;
   micros change_interval = 0;  // of the store's content; 0: it does not change
+  // Longest time from a change until a server that it removed is last used, at
+  // undisturbed hosts; and the shortest time for which it may be used.
+  relay_pool pool;
+  micros max_use = 0;
+  micros min_use = INT64_MAX;
   micros now = kStart;
   int store_calls = 0;
   std::set<std::string> callers;  // of the store
@@ -101,6 +108,21 @@
     h->hub_known = hosts.at(hub).known;
   }
 
+  // The host learns now of all changes up to `known`, with this bound on when
+  // they were made.
+  void Learn(host* h, micros known, micros made_after) {
+    micros changed = (h->known / change_interval + 1) * change_interval;
+    if (change_interval != 0 && changed <= known) {
+      if (now - h->disturbed_at > kStableTime) {
+        cr_assert_lt(made_after, changed, "the bound is later than the change");
+        micros last = std::max(now, LapsedDeadline(pool, made_after, now));
+        max_use = std::max(max_use, last - changed);
+        min_use = std::min(min_use, last - now);
+      }
+    }
+    h->known = std::max(h->known, known);
+  }
+
   void EndQuestion(host* h, micros delay) {
     h->asked_at = 0;
     h->idle_until = now + delay;
@@ -112,8 +134,11 @@
     if (!h->lost && waited >= 0 && (changed || waited >= h->step.wait)) {
       if (reaches_store(h->own.name)) {
         micros as_of = ProvenTime(h->asked_at, h->step.wait, changed, now);
-        OnStoreAnswer(&h->source, as_of);
-        h->known = std::max(h->known, now - kTransit);
+        micros prompt = PromptTime(h->asked_at, h->step.wait, now);
+        micros made_after =
+            StoreChangesMadeAfter(h->source, h->asked_at, h->step.wait, now);
+        OnStoreAnswer(&h->source, as_of, prompt);
+        Learn(h, now - kTransit, made_after);
         return EndQuestion(h, changed ? 250 * kMillisecond : 0);
       }
       h->lost = true;
@@ -132,8 +157,9 @@
     if (!h->lost && waited >= 0 && runs(name) &&
         (advanced || waited >= h->step.wait)) {
       if (linked(h->own.name, name)) {
+        micros made_after = ChangesMadeAfter(h->source, now);
         OnHubAnswer(&h->source, name, hub.source.as_of, now);
-        h->known = std::max(h->known, hub.known);
+        Learn(h, hub.known, made_after);
         return EndQuestion(h, 0);
       }
       h->lost = true;
@@ -153,7 +179,8 @@
   void RunFor(micros time) {
     store_calls = 0;
     callers.clear();
-    max_age = max_undisturbed_age = 0;
+    max_age = max_undisturbed_age = max_use = 0;
+    min_use = INT64_MAX;
     for (micros end = now + time; now < end; now += kStep) {
       for (auto& [name, h] : hosts) {
         if (!runs(name) || !reaches_store(name)) h.disturbed_at = now;
@@ -331,6 +358,40 @@
   }
 }
 
+// Guards against two times that are each within the bound and are added: that
+// until a host learns of a removal, and that for which the server is still
+// used. Hubs freeze for a moment, or for good, at any time; the store changes
+// at every moment in turn.
+Test(change_source, removed_servers_are_not_used_beyond_the_drain_period) {
+  for (micros limit : {3 * kSecond, 4 * kSecond, 5 * kSecond}) {
+    for (int count : {3, 4, 14, 33}) {
+      for (micros freeze = 0; freeze <= 6 * kSecond;
+           freeze += 300 * kMillisecond) {
+        data_centre_model m(count, limit);
+        m.pool.drain_period = limit;
+        m.change_interval = 3700 * kMillisecond;
+        m.RunFor(24 * kSecond);
+        // A host that watches the store learns of a change at once, and may
+        // wait for the server to register itself again, which takes two
+        // seconds.
+        if (count == 3) cr_expect_geq(m.min_use, 2 * kSecond, "%ld", m.min_use);
+        micros thaw = 0;
+        std::string hub = *m.FirstHubs(1).begin();
+        m.runs = [&](const std::string& name) {
+          return name != hub || m.now >= thaw;
+        };
+        for (int i = 0; i < 8; ++i) {
+          thaw = m.now + freeze;
+          m.RunFor(8300 * kMillisecond);
+          cr_assert_leq(
+              m.max_use, limit, "%ld s, %d hosts, frozen for %ld ms: %ld us",
+              limit / kSecond, count, freeze / kMillisecond, m.max_use);
+        }
+      }
+    }
+  }
+}
+
 // Guards against a host that waits for seconds after one failed call, as when
 // the store refuses a call beyond its rate limit.
 Test(change_source, one_refused_call_does_not_make_a_change_late) {
@@ -349,6 +410,23 @@
     cr_expect_leq(m.max_undisturbed_age, limit, "%ld us",
                   m.max_undisturbed_age);
   }
+  // The hub freezes instead.
+  for (micros limit : {3 * kSecond, 5 * kSecond}) {
+    for (micros at = 0; at < 2 * kSecond; at += 70 * kMillisecond) {
+      data_centre_model m(14, limit);
+      m.RunFor(5 * kSecond + at);
+      std::string hub = *m.FirstHubs(1).begin();
+      m.runs = [&](const std::string& name) { return name != hub; };
+      m.refuses = true;
+      std::set<std::string> refused;
+      m.refuses_call = [&](const std::string& name) {
+        return refused.insert(name).second;
+      };
+      m.RunFor(8 * kSecond);
+      cr_expect_leq(m.max_undisturbed_age, limit, "%ld us",
+                    m.max_undisturbed_age);
+    }
+  }
 }
 
 // A hub that freezes between two steps, or an answer that was long on its way,
@@ -370,5 +448,7 @@
     cr_assert_lt(t.hub_refresh, t.max_hub_age);
     cr_assert_lt(t.max_hub_age, t.max_age);
     cr_assert_lt(t.max_age + kStoreAnswerLimit, limit);
+    // A removal that is learned as late as possible is still dated.
+    cr_assert_lt(t.max_age + kStoreAnswerLimit, t.change_limit);
   }
 }
--- a/tray/testing/servers_test.cc
+++ b/tray/testing/servers_test.cc
@@ -325,6 +325,49 @@
   cr_assert_not(h.state.pool.servers_by_id.contains("s-b"));
 }
 
+// Guards against a drain period that counts from the moment at which a host
+// learns of the change, on top of the time that this took.
+Test(servers, drain_period_counts_from_the_change) {
+  for (micros drain : {2 * kSecond, 3 * kSecond, 4 * kSecond, 6 * kSecond}) {
+    for (micros late = 0; late <= drain; late += 100 * kMillisecond) {
+      for (bool leaving : {false, true}) {
+        test_host h;
+        h.AddService("s");
+        h.state.pool.drain_period = drain;
+        micros changed = h.now;
+        h.now += late;
+        std::vector<std::string> excluded = {"s-b", "s-c"};
+        if (leaving) {
+          registered_server entry = MakeServer("s-a", "s", "a");
+          entry.leaving = true;
+          UpsertServer(&h.state.pool, entry, h.now, changed);
+        } else {
+          RemoveServer(&h.state.pool, "s-a", h.now, changed);
+        }
+        micros last = 0;
+        for (; h.now < changed + 2 * drain; h.now += 10 * kMillisecond) {
+          pick_request r{.service = "s", .excluded = &excluded, .now = h.now};
+          server_ref s = PickServer(&h.state.pool, r, nullptr);
+          if (s == nullptr) continue;
+          cr_expect(MayStillSend(h.state.pool, *s, h.now));
+          last = h.now - changed;
+        }
+        // A request takes time to reach the server.
+        cr_expect_leq(last, drain - 300 * kMillisecond,
+                      "drain %ld, late %ld, leaving %d", drain, late, leaving);
+      }
+    }
+  }
+  // After an outage, when the change was made is unknown. Servers that live
+  // register again within two seconds.
+  test_host h;
+  h.AddService("s");
+  for (const char* id : {"s-a", "s-b", "s-c"})
+    RemoveServer(&h.state.pool, id, h.now);
+  pick_request r{.service = "s", .now = h.now + 2 * kSecond};
+  cr_expect_not_null(PickServer(&h.state.pool, r, nullptr).get());
+}
+
 // A delayed write of the server's entry arrives after the entry that says
 // leaving. It says ready and has an older sequence number.
 Test(servers, delayed_entry_does_not_revert_leaving) {
