Count the time limits of a deferred request from its arrival

A host that has just started defers requests for up to 0.3 s until it has the routes. Their time limits began after that, so that an answer came up to 0.3 s past the route's limit.

Measured: worker/time_limit_counts_from_the_arrival_of_a_deferred_request failed before (1.05 s of a limit of 0.8 s), passes.

--- a/tray/relayd/relay_worker.cc
+++ b/tray/relayd/relay_worker.cc
@@ -60,6 +60,7 @@
 // A request that arrived before the routes.
 struct deferred_request {
   caller_request request;
+  micros arrived_at = 0;
   uint64_t connection = 0;
   responder respond;
 };
@@ -181,7 +182,7 @@
           {{"reason", MessageOf(request.status())}});
       return AnswerLocally(respond, local_reply::kMalformed, 0);
     }
-    Relay(*std::move(request), connection, std::move(respond));
+    Relay(*std::move(request), SteadyNow(), connection, std::move(respond));
   }
 
   // A host that has just started receives the routes within milliseconds if the
@@ -192,7 +193,8 @@
     bool may_defer = SteadyNow() - started_at_ < kMaxRoutesWait &&
                      deferred_.size() < kMaxDeferredRequests;
     if (!may_defer) return RefuseWithoutRoutes(request, respond);
-    deferred_.push_back({std::move(request), connection, std::move(respond)});
+    deferred_.push_back(
+        {std::move(request), SteadyNow(), connection, std::move(respond)});
     if (deferred_.size() > 1) return;
     deferred_timer_.expires_after(std::chrono::microseconds(kMaxRoutesWait));
     deferred_timer_.async_wait([this](std::error_code error) {
@@ -209,7 +211,8 @@
       if (routing_.table == nullptr) {
         RefuseWithoutRoutes(e.request, e.respond);
       } else {
-        Relay(std::move(e.request), e.connection, std::move(e.respond));
+        Relay(std::move(e.request), e.arrived_at, e.connection,
+              std::move(e.respond));
       }
     }
   }
@@ -220,7 +223,8 @@
     AnswerLocally(respond, local_reply::kNotRun, kLongRetryAfter);
   }
 
-  void Relay(caller_request request, uint64_t connection, responder respond) {
+  void Relay(caller_request request, micros arrived_at, uint64_t connection,
+             responder respond) {
     const route_config* matched =
         MatchRoute(*routing_.table, request.host, request.path);
     if (matched == nullptr) {
@@ -235,16 +239,20 @@
         request.body->size() > routing_.table->limits.max_body_bytes) {
       return AnswerLocally(respond, local_reply::kBodyTooLarge, 0);
     }
-    StartRequest(std::move(request), matched, connection, std::move(respond));
+    StartRequest(std::move(request), arrived_at, matched, connection,
+                 std::move(respond));
   }
 
-  void StartRequest(caller_request request, const route_config* matched,
-                    uint64_t connection, responder respond) {
+  // All time limits count from the request's arrival.
+  void StartRequest(caller_request request, micros arrived_at,
+                    const route_config* matched, uint64_t connection,
+                    responder respond) {
     micros now = SteadyNow();
     micros time_budget = request.timeout == 0
                              ? matched->time_limit
                              : std::min(request.timeout, matched->time_limit);
-    if (draining_ && answer_by_ - now < std::min(time_budget, kMinTimeToStop)) {
+    if (draining_ &&
+        answer_by_ - arrived_at < std::min(time_budget, kMinTimeToStop)) {
       LogLocalReply(request, local_reply::kNotRun, "the host is stopping",
                     routing_.table->version);
       return AnswerLocally(respond, local_reply::kNotRun, kStoppedRetryAfter);
@@ -254,12 +262,13 @@
     q.id = ++last_id_;
     q.table = routing_.table;
     q.route = matched;
-    q.start = now;
-    q.deadline = now + std::max<micros>(time_budget - kDeadlineMargin, 1);
+    q.start = arrived_at;
+    q.deadline =
+        arrived_at + std::max<micros>(time_budget - kDeadlineMargin, 1);
     bool new_connection = served_connections_.insert(connection).second;
     q.soft_deadline =
         std::min(q.deadline,
-                 now + matched->target_latency -
+                 arrived_at + matched->target_latency -
                      ResponseMargin(matched->target_latency, new_connection));
     if (draining_) LimitDeadline(&q);
     active->request = std::move(request);
--- a/tray/testing/relayd_test.cc
+++ b/tray/testing/relayd_test.cc
@@ -495,6 +495,48 @@
   cr_assert_eq(status, 200);
 }
 
+// Guards against a deferred request that gets its whole time limit once more.
+Test(worker, time_limit_counts_from_the_arrival_of_a_deferred_request) {
+  relay_metrics counters;
+  settings own = HostSettings(17530);
+  relay_worker worker(own, {platform::CallerCodec(), platform::ServerCodec()},
+                      &counters);
+  cr_assert(worker.Listen().ok());
+  std::thread traffic([&] { worker.Run(); });
+  asio::io_context loop(1);
+  // Accepts connections and never answers.
+  asio::ip::tcp::acceptor silent(loop, {asio::ip::make_address(kHost), 17535});
+  fetcher http(loop);
+  int status = 0;
+  micros start = SteadyNow();
+  micros answered = 0;
+  http.Start({.to = own.callers,
+              .path = "/p/x",
+              .headers = {"Host: h", "Request-Id: r1"},
+              .timeout = 3 * kSecond},
+             [&](const fetch_result& r) {
+               status = r.status;
+               answered = SteadyNow();
+             });
+  loop.run_for(std::chrono::milliseconds(250));
+  std::vector<store_update> updates;
+  updates.push_back(
+      platform::DecodeItem({.key = "op/config", .value = kConfig}));
+  updates.push_back(platform::DecodeItem(
+      {.key = "servers/i-1",
+       .value = R"({"service":"c","address":"127.0.0.1:17535","zone":"z",)"
+                R"("slots":2,"state":"ready","warmup_left_ms":0})"}));
+  worker.PostUpdates(std::move(updates));
+  for (int i = 0; i < 2000 && status == 0; ++i)
+    loop.run_for(std::chrono::milliseconds(1));
+  worker.Stop();
+  traffic.join();
+  cr_expect_eq(status, 504);
+  // The route's time limit is 800 ms.
+  cr_expect_lt(answered - start, 950 * kMillisecond, "%ld us",
+               answered - start);
+}
+
 Test(worker, host_without_routes_refuses_and_is_not_ready) {
   relay_metrics counters;
   settings own = HostSettings(17510);
