--- a/tray/http/fetch.h
+++ b/tray/http/fetch.h
@@ -65,14 +65,16 @@
   kTimedOut,     // bytes may have been sent
   kIdMismatch,   // not a reply to this request; the connection was closed
   kPoolTimeout,  // no connection became free in time; nothing was sent
+  kExpired,      // it may no longer be sent (relay_call::may_send); it was not
 };
-constexpr name_table<fetch_fault, 6> kFetchFaultNames = {{
+constexpr name_table<fetch_fault, 7> kFetchFaultNames = {{
     {fetch_fault::kNone, "none"},
     {fetch_fault::kNotSent, "not_sent"},
     {fetch_fault::kBroken, "broken"},
     {fetch_fault::kTimedOut, "timed_out"},
     {fetch_fault::kIdMismatch, "crossed"},
     {fetch_fault::kPoolTimeout, "no_turn"},
+    {fetch_fault::kExpired, "expired"},
 }};
 
 struct fetch_result {
--- a/tray/http/relay_client.cc
+++ b/tray/http/relay_client.cc
@@ -154,7 +154,7 @@
     transfers_.emplace(t->id, t);
     pool* p = GetPool(t->call.to);
     if (p == nullptr) {
-      FailAsync(std::move(t));
+      FailAsync(std::move(t), fetch_fault::kNotSent);
       return next_id_ - 1;
     }
     AddDeadline(t->start + t->call.timeout, t->id);
@@ -195,6 +195,7 @@
   // a connection whose request was rejected before it was written is closed for
   // it, and if the request needs a new connection, the oldest idle one.
   void Dispatch(pool* p, transfer_ref t) {
+    if (!MaySend(*t)) return FailAsync(std::move(t), fetch_fault::kExpired);
     bool needs_new = t->call.new_connection || t->on_probe_done;
     while (!needs_new && !p->idle.empty()) {
       connection_ref c = p->idle.back();
@@ -223,6 +224,17 @@
     }
   }
 
+  // What was true when the request was started may have ceased to be while it
+  // waited for a connection.
+  static bool MaySend(const transfer& t) {
+    const relay_call& call = t.call;
+    micros limit = call.send_within == 0
+                       ? call.timeout
+                       : std::min(call.timeout, call.send_within);
+    return SteadyNow() <= t.start + limit &&
+           (!call.may_send || call.may_send());
+  }
+
   // Whether the connection was idle for too long or exceeds the limit.
   static bool MustClose(const connection& c) {
     return SteadyNow() - c.idle_since > c.owning_pool->max_idle ||
@@ -237,7 +249,7 @@
     Assign(c.get(), std::move(t));
     std::error_code error;
     c->socket.open(tcp::v4(), error);
-    if (error) return FailAsync(CloseAndDetach(c));
+    if (error) return FailAsync(CloseAndDetach(c), fetch_fault::kNotSent);
     c->socket.non_blocking(true, error);
     c->socket.set_option(tcp::no_delay(true), error);
     using user_timeout =
@@ -265,7 +277,17 @@
     ++c->owning_pool->connected;
     Read(c);
     if (t->call.delay_first_send) return SendAfterDelay(c, t);
+    SendFirst(c, t);
+  }
+
+  // Sends the first request on a new connection.
+  void SendFirst(const connection_ref& c, const transfer_ref& t) {
     if (t->on_probe_done) return CompleteProbe(c, t);
+    if (!MaySend(*t)) {
+      Detach(c);
+      ReleaseToPool(c);
+      return Complete(t, fetch_fault::kExpired);
+    }
     if (!TrySend(c, t)) Complete(t, fetch_fault::kNotSent);
   }
 
@@ -278,8 +300,7 @@
     timer->async_wait([this, c, t, timer](std::error_code) {
       if (c->closed || c->current != t) return;
       c->first_send_delayed = false;
-      if (t->on_probe_done) return CompleteProbe(c, t);
-      if (!TrySend(c, t)) Complete(t, fetch_fault::kNotSent);
+      SendFirst(c, t);
     });
   }
 
@@ -476,8 +497,8 @@
     t->done(std::move(t->result));
   }
 
-  void FailAsync(transfer_ref t) {
-    asio::post(loop_, [this, t] { Complete(t, fetch_fault::kNotSent); });
+  void FailAsync(transfer_ref t, fetch_fault fault) {
+    asio::post(loop_, [this, t, fault] { Complete(t, fault); });
   }
 
   // ---- Deadlines -----------------------------------------------------------
--- a/tray/http/relay_client.h
+++ b/tray/http/relay_client.h
@@ -52,6 +52,10 @@
   micros timeout = 1 * kSecond;
   // Limits the wait for a free connection, and then the time to connect.
   micros connect_timeout = 1 * kSecond;
+  // Nothing is sent later than this after Start; 0: no limit but `timeout`.
+  micros send_within = 0;
+  // Asked just before the request is written, if set; false: it is not sent.
+  std::function<bool()> may_send;
   // Use a new connection, which the server does not close as idle just as the
   // request is sent.
   bool new_connection = false;
--- a/tray/relay/relay.cc
+++ b/tray/relay/relay.cc
@@ -374,6 +374,7 @@
       return OnServerFull(GetOrCreateService(&state->pool, service), s, a->id,
                           now);
     case relay_attempt_outcome::kNoFreeConnection:
+    case relay_attempt_outcome::kExpired:
       a->may_have_run = false;
       a->was_sent = false;
       return OnGivenUp(s, a->id, false, now);
--- a/tray/relay/relay.h
+++ b/tray/relay/relay.h
@@ -66,11 +66,12 @@
   kNotSent,           // no connection was made; no byte was sent
   kServerFull,        // the server rejected the connection; no byte was sent
   kNoFreeConnection,  // timed out waiting for a connection; no byte was sent
+  kExpired,           // the server may no longer be asked; no byte was sent
   kBroken,            // connection lost, or a truncated or mismatched reply
   kTimedOut,          // no reply before the deadline
   kCancelled,         // cancelled by its request; never reported back
 };
-constexpr name_table<relay_attempt_outcome, 10> kRelayAttemptOutcomeNames = {{
+constexpr name_table<relay_attempt_outcome, 11> kRelayAttemptOutcomeNames = {{
     {relay_attempt_outcome::kServed, "served"},
     {relay_attempt_outcome::kFailed, "failed"},
     {relay_attempt_outcome::kRefused, "refused"},
@@ -78,6 +79,7 @@
     {relay_attempt_outcome::kNotSent, "not_sent"},
     {relay_attempt_outcome::kServerFull, "server_full"},
     {relay_attempt_outcome::kNoFreeConnection, "no_turn"},
+    {relay_attempt_outcome::kExpired, "expired"},
     {relay_attempt_outcome::kBroken, "broken"},
     {relay_attempt_outcome::kTimedOut, "timed_out"},
     {relay_attempt_outcome::kCancelled, "cancelled"},
--- a/tray/relayd/relay_worker.cc
+++ b/tray/relayd/relay_worker.cc
@@ -34,6 +34,10 @@
 // counts as not sent. It covers three times the longest latency between
 // regions, and the server's handshake.
 constexpr micros kConnectTimeout = 250 * kMillisecond;
+// Time within which a request is sent once a server is picked, with the wait
+// for a connection and a new one's first delay. The request states the time
+// that was left when the server was picked.
+constexpr micros kMaxSendDelay = 400 * kMillisecond;
 // For this long after its start, several tens of the store's response times, a
 // host defers requests until it has received the routes. Later requests, and
 // those beyond kMaxDeferredRequests, are refused.
@@ -335,6 +339,11 @@
     http_.SetMaxConnections(to, send.connections);
     relay_call r = codecs_.servers.encode(active.request, send);
     r.connect_timeout = std::min(kConnectTimeout, send.timeout);
+    r.send_within = kMaxSendDelay;
+    // The server may be removed while the request waits for a connection.
+    r.may_send = [this, server = send.server] {
+      return MayStillSend(routing_.relay.pool, *server, SteadyNow());
+    };
     // The server may close an idle connection while the request is on its way.
     // A non-idempotent request may then have run and could not be sent again.
     r.new_connection = active.query.route->kind == request_kind::kNonIdempotent;
--- a/tray/testing/relay_client_test.cc
+++ b/tray/testing/relay_client_test.cc
@@ -518,6 +518,57 @@
   cr_assert_eq(w.Run(call).fault, fetch_fault::kNone);
 }
 
+// Guards against a request that is sent to a server which was removed while the
+// request waited for a connection.
+Test(relay_client, request_that_may_no_longer_be_sent_is_not) {
+  client_fixture w(17327);
+  w.server.script = {{.bytes = OkReply("a")}};
+  bool allowed = false;
+  relay_call call = w.Call("a");
+  call.may_send = [&] { return allowed; };
+  cr_expect_eq(w.Run(call).fault, fetch_fault::kExpired);
+  // It ceases to be allowed while a connection is made, or is left alone.
+  for (bool delayed : {false, true}) {
+    allowed = true;
+    call.delay_first_send = delayed;
+    call.new_connection = true;
+    fetch_result result;
+    bool done = false;
+    w.client.Start(call, [&](fetch_result r) {
+      result = std::move(r);
+      done = true;
+    });
+    allowed = false;
+    w.RunUntil([&] { return done; });
+    cr_expect_eq(result.fault, fetch_fault::kExpired);
+  }
+  // The time within which it may be sent passes.
+  call.may_send = nullptr;
+  call.send_within = 1;
+  cr_expect_eq(w.Run(call).fault, fetch_fault::kExpired);
+  // While it waits for the only connection.
+  w.client.SetMaxConnections({kHost, w.port}, 1);
+  w.server.script = {{.bytes = ""}, {.bytes = OkReply("b")}};
+  relay_call blocking = w.Call("blocking");
+  blocking.timeout = 100 * kMillisecond;
+  w.client.Start(blocking, [](const fetch_result&) {});
+  relay_call waiting = w.Call("a");
+  allowed = true;
+  waiting.may_send = [&] { return allowed; };
+  bool done = false;
+  fetch_fault fault = fetch_fault::kNone;
+  w.client.Start(waiting, [&](const fetch_result& r) {
+    fault = r.fault;
+    done = true;
+  });
+  w.RunBriefly();
+  allowed = false;
+  w.RunUntil([&] { return done; });
+  cr_expect_eq(fault, fetch_fault::kExpired);
+  cr_expect_eq(w.server.requests.size(), 1u);
+  cr_expect_eq(w.Run("b").fault, fetch_fault::kNone, "the connection is kept");
+}
+
 Test(relay_client, reply_to_head_has_no_body) {
   client_fixture w(17324);
   w.server.script = {
--- a/tray/testing/relay_test.cc
+++ b/tray/testing/relay_test.cc
@@ -464,12 +464,13 @@
         size_t at = random() % open.size();
         uint64_t attempt = open[at];
         open.erase(open.begin() + static_cast<long>(at));
-        auto outcome = static_cast<relay_attempt_outcome>(random() % 9);
+        auto outcome = static_cast<relay_attempt_outcome>(random() % 10);
         bool proven = outcome == relay_attempt_outcome::kRefused ||
                       outcome == relay_attempt_outcome::kMisplaced ||
                       outcome == relay_attempt_outcome::kNotSent ||
                       outcome == relay_attempt_outcome::kServerFull ||
-                      outcome == relay_attempt_outcome::kNoFreeConnection;
+                      outcome == relay_attempt_outcome::kNoFreeConnection ||
+                      outcome == relay_attempt_outcome::kExpired;
         if (proven) --may_have_run[part_of[attempt]];
         if (!proven) ran = true;
         perform(Reply(&h, &req, attempt,
--- a/tray/wire/backend_wire.cc
+++ b/tray/wire/backend_wire.cc
@@ -36,6 +36,7 @@
       break;
     case fetch_fault::kNotSent:
     case fetch_fault::kPoolTimeout:
+    case fetch_fault::kExpired:
       return attempt_end::kNotSent;
     case fetch_fault::kBroken:
       return attempt_end::kBroken;
