--- a/tray/config/claim.cc
+++ b/tray/config/claim.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "tray/base/hash.h"
+#include "tray/base/json.h"
 
 namespace baobabtray {
 namespace {
@@ -30,17 +31,17 @@
 }
 
 absl::StatusOr<claim_record> ParseClaim(std::string_view value) {
-  json j = json::parse(value, nullptr, false);
+  json j = ParseJson(value);
   claim_record c;
   try {
-    auto state = ValueOf(kClaimStateNames, j.at("state").get<std::string>());
+    auto state = ValueOf(kClaimStateNames, StringOf(j.at("state"), "state"));
     if (!state) return absl::DataLossError("claim record: unknown state");
     c.state = *state;
-    j.at("token").get_to(c.token);
-    j.at("host").get_to(c.host);
-    j.at("until_ms").get_to(c.until_ms);
-    j.at("answer").get_to(c.answer);
-  } catch (const json::exception&) {
+    c.token = StringOf(j.at("token"), "token");
+    c.host = StringOf(j.at("host"), "host");
+    c.until_ms = IntegerOf<int64_t>(j.at("until_ms"), "until_ms");
+    c.answer = StringOf(j.at("answer"), "answer");
+  } catch (const std::exception&) {
     return absl::DataLossError("claim record: malformed JSON or missing field");
   }
   return c;
--- a/tray/config/config.cc
+++ b/tray/config/config.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "tray/base/json.h"
 #include "tray/config/config_json.h"
 
 namespace baobabtray {
@@ -13,13 +14,13 @@
 
 edit_record EditFromJson(const json& j) {
   edit_record e;
-  j.at("revision").get_to(e.revision);
-  j.at("id").get_to(e.id);
-  j.at("by").get_to(e.author);
-  e.kind = ValueOf(kEditKindNames, j.at("kind").get<std::string>())
+  e.revision = IntegerOf<int64_t>(j.at("revision"), "revision");
+  e.id = StringOf(j.at("id"), "id");
+  e.author = StringOf(j.at("by"), "by");
+  e.kind = ValueOf(kEditKindNames, StringOf(j.at("kind"), "kind"))
                .value_or(edit_kind::kApply);
-  j.at("detail").get_to(e.detail);
-  j.at("at_ms").get_to(e.at_ms);
+  e.detail = StringOf(j.at("detail"), "detail");
+  e.at_ms = IntegerOf<int64_t>(j.at("at_ms"), "at_ms");
   return e;
 }
 
@@ -51,20 +52,20 @@
 }
 
 absl::StatusOr<config> ParseConfig(std::string_view text) {
-  json j = json::parse(text, nullptr, false);
+  json j = ParseJson(text);
   config c;
   try {
-    j.at("revision").get_to(c.revision);
-    j.at("text").get_to(c.text);
-    for (const json& p : j.at("out")) {
-      auto kind = ValueOf(kPlaceKindNames, p.at("kind").get<std::string>());
+    c.revision = IntegerOf<int64_t>(j.at("revision"), "revision");
+    c.text = StringOf(j.at("text"), "text");
+    for (const json& p : ArrayOf(j.at("out"), "out")) {
+      auto kind = ValueOf(kPlaceKindNames, StringOf(p.at("kind"), "kind"));
       if (!kind)
         return absl::DataLossError("stored configuration: unknown place kind");
-      c.out_of_service.push_back({*kind, p.at("name")});
+      c.out_of_service.push_back({*kind, StringOf(p.at("name"), "name")});
     }
-    for (const json& e : j.at("recent"))
+    for (const json& e : ArrayOf(j.at("recent"), "recent"))
       c.recent_edits.push_back(EditFromJson(e));
-  } catch (const json::exception&) {
+  } catch (const std::exception&) {
     return absl::DataLossError(
         "stored configuration: malformed JSON or missing field");
   }
--- a/tray/config/delta.cc
+++ b/tray/config/delta.cc
@@ -27,8 +27,10 @@
 
 std::optional<std::string> ApplyDelta(std::string_view base,
                                       const text_delta& delta) {
-  if (delta.prefix_bytes + delta.suffix_bytes > base.size())
+  if (delta.prefix_bytes > base.size() ||
+      delta.suffix_bytes > base.size() - delta.prefix_bytes) {
     return std::nullopt;
+  }
   if (FingerprintOf(base) != delta.base_fingerprint) return std::nullopt;
   std::string result(base.substr(0, delta.prefix_bytes));
   result += delta.replacement;
--- a/tray/daemon/admin.cc
+++ b/tray/daemon/admin.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "tray/base/hash.h"
+#include "tray/base/json.h"
 #include "tray/base/log.h"
 #include "tray/base/strings.h"
 #include "tray/config/config_json.h"
@@ -72,27 +73,30 @@
 absl::StatusOr<edit_request> ParseEditRequest(const json& j) {
   edit_request e;
   try {
-    auto kind = ValueOf(kEditKindNames, j.at("kind").get<std::string>());
+    auto kind = ValueOf(kEditKindNames, StringOf(j.at("kind"), "kind"));
     if (!kind)
       return absl::InvalidArgumentError(
           "'kind' must be apply, out, in or rollback");
     e.kind = *kind;
-    e.author = j.value("by", "");
-    e.dry_run = j.value("dry_run", false);
-    e.base_revision = j.value("base_revision", int64_t{-1});
-    if (e.kind == edit_kind::kApply) j.at("text").get_to(e.text);
+    if (const json* by = FindField(j, "by")) e.author = StringOf(*by, "by");
+    if (const json* dry_run = FindField(j, "dry_run"))
+      e.dry_run = BoolOf(*dry_run, "dry_run");
+    const json* base = FindField(j, "base_revision");
+    e.base_revision =
+        base == nullptr ? -1 : IntegerOf<int64_t>(*base, "base_revision");
+    if (e.kind == edit_kind::kApply) e.text = StringOf(j.at("text"), "text");
     if (e.kind == edit_kind::kOut || e.kind == edit_kind::kIn) {
       auto place =
-          ValueOf(kPlaceKindNames, j.at("place_kind").get<std::string>());
+          ValueOf(kPlaceKindNames, StringOf(j.at("place_kind"), "place_kind"));
       if (!place) {
         return absl::InvalidArgumentError(
             "'place_kind' must be data_centre or server");
       }
-      e.target = {*place, j.at("place")};
+      e.target = {*place, StringOf(j.at("place"), "place")};
       e.detail =
           fmt::format("{} {}", NameOf(kPlaceKindNames, *place), e.target.name);
     }
-  } catch (const json::exception& error) {
+  } catch (const std::exception& error) {
     return absl::InvalidArgumentError(error.what());
   }
   if (e.author.empty()) return absl::InvalidArgumentError("'by' is missing");
@@ -268,7 +272,7 @@
 }
 
 void admin_api::HandleEdit(const http_request& r, responder respond) {
-  json j = json::parse(r.body, nullptr, false);
+  json j = ParseJson(r.body);
   if (!j.is_object()) {
     return respond(
         ErrorResponse(400, "bad_request", "the body must be a JSON object"));
@@ -343,9 +347,11 @@
 }
 
 void admin_api::HandleLogLevel(const http_request& r, responder respond) {
-  json j = json::parse(r.body, nullptr, false);
-  std::string level_name = j.is_object() ? j.value("level", "") : "";
-  auto level = ValueOf(kLogLevelNames, level_name);
+  json j = ParseJson(r.body);
+  const json* name = j.is_object() ? FindField(j, "level") : nullptr;
+  std::optional<log_level> level;
+  if (name != nullptr && name->is_string())
+    level = ValueOf(kLogLevelNames, name->get<std::string>());
   if (!level) {
     return respond(ErrorResponse(
         400, "bad_request", "'level' must be debug, info, warning or error"));
--- a/tray/daemon/config_manager.cc
+++ b/tray/daemon/config_manager.cc
@@ -5,7 +5,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 #include "tray/base/hash.h"
 #include "tray/base/log.h"
@@ -268,9 +267,7 @@
     SendToPeer(context_, m.peer_address, "/peer/revision", "{}",
                [this, pending, m, outstanding, revision](int status,
                                                          std::string body) {
-                 nlohmann::json j = nlohmann::json::parse(body, nullptr, false);
-                 if (status == 200 && j.is_object() &&
-                     j.value("revision", int64_t{0}) >= revision) {
+                 if (status == 200 && ParseRevision(body) >= revision) {
                    pending->report.confirmed.push_back(m.name);
                    std::erase_if(pending->unconfirmed_hosts,
                                  [&](const member& other) {
--- a/tray/members/members.cc
+++ b/tray/members/members.cc
@@ -43,7 +43,8 @@
     bool wrong = report.status != ms->self.status &&
                  Precedence(report.status) > Precedence(ms->self.status);
     if (wrong && report.incarnation >= ms->self.incarnation) {
-      ms->self.incarnation = report.incarnation + 1;
+      ms->self.incarnation =
+          std::min(report.incarnation, kMaxIncarnation - 1) + 1;
     }
     return false;
   }
--- a/tray/members/members.h
+++ b/tray/members/members.h
@@ -39,6 +39,8 @@
 // removed.
 constexpr micros kDeadRetention = 120 * kSecond;
 constexpr int kMaxChangesPerDigest = 12;
+// A higher incarnation is not plausible.
+constexpr uint64_t kMaxIncarnation = INT64_MAX;
 
 // In order of precedence among reports about the same incarnation.
 enum class member_status { kLive, kSuspect, kLeaving, kDead };
--- a/tray/relay/servers.cc
+++ b/tray/relay/servers.cc
@@ -125,8 +125,8 @@
                      const relay_server& s, micros now) {
   if (service.limits.max_cold_rate <= 0 || now >= s.cold_until) return true;
   double share = service.limits.max_cold_rate / std::max(1, pool.host_count);
-  auto interval = static_cast<micros>(static_cast<double>(kSecond) / share);
-  return s.last_cold_send == 0 || now - s.last_cold_send >= interval;
+  auto since = static_cast<double>(now - s.last_cold_send);
+  return s.last_cold_send == 0 || since * share >= kSecond;
 }
 
 void UpdateLimitShare(const relay_pool& pool, relay_server* s, micros now) {
--- a/tray/relayd/change_feed.cc
+++ b/tray/relayd/change_feed.cc
@@ -11,6 +11,7 @@
 
 #include "absl/strings/escaping.h"
 #include "tray/base/clock.h"
+#include "tray/base/json.h"
 #include "tray/base/strings.h"
 
 namespace baobabtray {
@@ -24,6 +25,9 @@
 constexpr int64_t kMaxWaitMs = 5000;
 // A connection within a data centre is made in far less time.
 constexpr micros kConnectLimit = 400 * kMillisecond;
+// Limits of what a hub may state: a time since its machine started.
+constexpr uint64_t kMaxRevision = INT64_MAX;
+constexpr int64_t kMaxAgeMs = 3'650LL * 86'400'000;
 
 // Rounds down, so that the receiver never takes its knowledge for newer.
 int64_t FloorToMillis(micros time) {
@@ -43,11 +47,21 @@
   return node;
 }
 
+uint64_t RevisionOf(const json& value) {
+  return IntegerOf<uint64_t>(value, "revision", 0, kMaxRevision);
+}
+
+bool Flag(const json& node, const char* name) {
+  const json* flag = FindField(node, name);
+  return flag != nullptr && BoolOf(*flag, name);
+}
+
 stored_item DecodeStored(const json& node) {
-  stored_item item{.key = node.at("key"),
-                   .revision = node.at("revision"),
-                   .removed = node.value("removed", false)};
-  std::string encoded = node.value("value", "");
+  stored_item item{.key = StringOf(node.at("key"), "key"),
+                   .revision = RevisionOf(node.at("revision")),
+                   .removed = Flag(node, "removed")};
+  const json* value = FindField(node, "value");
+  std::string encoded = value == nullptr ? "" : StringOf(*value, "value");
   if (!absl::Base64Unescape(encoded, &item.value)) {
     throw std::invalid_argument("value is not valid base64");
   }
@@ -69,13 +83,15 @@
 
 absl::StatusOr<change_batch> DecodeChanges(const std::string& text) {
   try {
-    json node = json::parse(text);
+    json node = ParseJson(text);
     change_batch batch{
-        .revision = node.at("revision"),
-        .as_of = node.at("as_of_ms").get<int64_t>() * kMillisecond};
-    for (const json& row : node.at("items")) {
-      if (row.value("large", false)) {
-        batch.large.push_back(row.at("key"));
+        .revision = RevisionOf(node.at("revision")),
+        .as_of = IntegerOf<int64_t>(node.at("as_of_ms"), "as_of_ms", -kMaxAgeMs,
+                                    kMaxAgeMs) *
+                 kMillisecond};
+    for (const json& row : ArrayOf(node.at("items"), "items")) {
+      if (Flag(row, "large")) {
+        batch.large.push_back(StringOf(row.at("key"), "key"));
       } else {
         batch.items.push_back(DecodeStored(row));
       }
--- a/tray/relayd/change_log.cc
+++ b/tray/relayd/change_log.cc
@@ -44,6 +44,7 @@
     uint64_t after) const {
   if (after < start_ || revision_ == 0) return std::nullopt;
   std::vector<stored_item> changes;
+  if (after >= revision_) return changes;
   for (auto it = items_.lower_bound({after + 1, ""}); it != items_.end();
        ++it) {
     changes.push_back(it->second);
--- a/tray/relayd/relay_host.cc
+++ b/tray/relayd/relay_host.cc
@@ -11,11 +11,10 @@
 
 #include "tray/relayd/relay_host.h"
 
-#include <fmt/format.h>
-
 #include <asio.hpp>
 #include <chrono>
 #include <csignal>
+#include <nlohmann/json.hpp>
 #include <thread>
 
 #include "tray/base/clock.h"
@@ -102,13 +101,16 @@
           [respond](std::string dump) { respond({.body = std::move(dump)}); });
     }
     if (r.path == "/store") {
+      // Names of hosts are keys of the store, which may hold any characters.
+      nlohmann::json state = {
+          {"revision", watcher_.revision()},
+          {"keys", watcher_.keys()},
+          {"in_contact", watcher_.in_contact()},
+          {"age_ms", (SteadyNow() - watcher_.as_of()) / kMillisecond},
+          {"hub", watcher_.hub()}};
       return respond(
-          {.body = fmt::format(
-               R"({{"revision":{},"keys":{},"in_contact":{},"age_ms":{},)"
-               R"("hub":"{}"}})",
-               watcher_.revision(), watcher_.keys(), watcher_.in_contact(),
-               (SteadyNow() - watcher_.as_of()) / kMillisecond,
-               watcher_.hub())});
+          {.body = state.dump(-1, ' ', false,
+                              nlohmann::json::error_handler_t::replace)});
     }
     respond({.status = 404,
              .body = R"({"error":"try /metrics, /state or /store"})"});
--- a/tray/testing/base_test.cc
+++ b/tray/testing/base_test.cc
@@ -7,6 +7,7 @@
 #include "tray/base/endpoint.h"
 #include "tray/base/enum_names.h"
 #include "tray/base/hash.h"
+#include "tray/base/json.h"
 #include "tray/base/yaml_doc.h"
 
 using namespace baobabtray;  // NOLINT: test file
@@ -84,6 +85,38 @@
   }
 }
 
+Test(json, nesting_is_counted_outside_strings) {
+  cr_assert_not(IsNestedDeeper(R"({"a":"[[[\"[[[","b":[[1],[2]]})", 3));
+  cr_assert(IsNestedDeeper(R"({"a":[[1]]})", 2));
+  cr_assert(ParseJson(std::string(kMaxJsonDepth + 1, '[')).is_discarded());
+  std::string deepest =
+      std::string(kMaxJsonDepth, '[') + std::string(kMaxJsonDepth, ']');
+  cr_assert_not(ParseJson(deepest).is_discarded());
+  for (const char* cut : {"\"", "\"\\", "[\"\\\"", "{\"a"}) {
+    cr_assert(ParseJson(cut).is_discarded(), "%s", cut);
+  }
+}
+
+Test(json, integers_are_read_exactly_or_not_at_all) {
+  auto accepts = [](const char* text, auto min, auto max) {
+    try {
+      IntegerOf<decltype(min)>(ParseJson(text), "x", min, max);
+      return true;
+    } catch (const std::invalid_argument&) {
+      return false;
+    }
+  };
+  cr_expect(accepts("18446744073709551615", uint64_t{0}, UINT64_MAX));
+  cr_expect(accepts("-9223372036854775808", INT64_MIN, INT64_MAX));
+  cr_expect(accepts("3.0", 0, 3));
+  for (const char* odd : {"4", "-1", "2.5", "true", "\"1\"", "null", "1e300",
+                          "4294967297", "9223372036854775808", "[1]"}) {
+    cr_expect_not(accepts(odd, 0, 3), "%s", odd);
+  }
+  cr_expect_not(accepts("-1", uint64_t{0}, UINT64_MAX));
+  cr_expect_not(accepts("1e18", INT64_MIN, INT64_MAX), "not exact");
+}
+
 Test(hash, compares_secrets_in_full) {
   cr_assert(EqualSecrets("abc", "abc"));
   cr_assert(!EqualSecrets("abc", "abd"));
--- a/tray/testing/change_feed_test.cc
+++ b/tray/testing/change_feed_test.cc
@@ -16,6 +16,7 @@
 #include "tray/base/clock.h"
 #include "tray/relayd/store_watcher.h"
 #include "tray/standin/platform_store.h"
+#include "tray/testing/odd_json.h"
 
 using namespace baobabtray;  // NOLINT: test file
 using standin::platform_store;
@@ -230,8 +231,86 @@
   }
 }
 
+// A hub of another release, or one that is not well, must not end its followers
+// or leave them with a revision or a time that no hub has.
+Test(change_feed, batches_with_an_odd_field_are_rejected) {
+  const std::string good = R"({"revision":9,"as_of_ms":-20,"items":[)"
+                           R"({"key":"a","revision":8,"value":"dg=="},)"
+                           R"({"key":"b","revision":9,"removed":true},)"
+                           R"({"key":"c","revision":9,"large":true}]})";
+  cr_assert(DecodeChanges(good).ok());
+  const typed_field kFields[] = {
+      {"/revision", field_type::kInteger},
+      {"/as_of_ms", field_type::kInteger},
+      {"/items", field_type::kArray},
+      {"/items/0/key", field_type::kString},
+      {"/items/0/revision", field_type::kInteger},
+      {"/items/0/value", field_type::kString},
+      {"/items/1/removed", field_type::kBool},
+      {"/items/2/key", field_type::kString},
+      {"/items/2/large", field_type::kBool},
+  };
+  for (const typed_field& f : kFields) {
+    for (const std::string& odd : OddFor(f.type)) {
+      cr_expect_not(DecodeChanges(WithField(good, f.pointer, odd)).ok(),
+                    "%s: %.40s", f.pointer.c_str(), odd.c_str());
+    }
+  }
+  for (const char* field : {"/revision", "/items/0/revision"}) {
+    for (const char* odd : {"-1", "18446744073709551615"}) {
+      cr_expect_not(DecodeChanges(WithField(good, field, odd)).ok());
+    }
+  }
+  for (const char* odd : {"9223372036854775807", "-9223372036854775808"}) {
+    cr_expect_not(DecodeChanges(WithField(good, "/as_of_ms", odd)).ok());
+  }
+  cr_expect_not(DecodeChanges(DeepJson()).ok());
+}
+
 // ---- Hosts -----------------------------------------------------------------
 
+// Guards against odd entries that end the hosts that read them, or that keep
+// them from following the store: one of each kind, then a proper one.
+Test(change_feed, hosts_follow_the_store_past_odd_entries) {
+  hosts_fixture fx(17591);
+  fx.WaitForHub();
+  fx.UpsertServer("i-known");
+  fx.RunUntil([&] { return fx.AllHostsKnow("i-known"); }, 3000);
+  const std::string odd_entries[] = {
+      DeepJson(),
+      std::string(900'000, '['),
+      R"({"service":)" + DeepJson() + "}",
+      "",
+      "\xff\xfe",
+      "1e999",
+      R"({"service":"s","address":"127.0.0.1:99999","zone":"z","slots":2,)"
+      R"("state":"ready","warmup_left_ms":0})",
+      R"({"service":"s","address":"127.0.0.1:9","zone":"z","slots":1e300,)"
+      R"("state":"ready","warmup_left_ms":1e300,"sequence":-1e300})"};
+  const char* keys[] = {"servers/i-odd",
+                        "servers/i-known",
+                        "op/config",
+                        "baobabtray/hosts/odd",
+                        "baobabtray/fleet-size",
+                        "op/evacuate/odd",
+                        "servers/",
+                        "odd \"\\\x01 key"};
+  int n = 0;
+  for (const char* key : keys) {
+    for (const std::string& entry : odd_entries) fx.store.Put(key, entry);
+    std::string next = "i-" + std::to_string(++n);
+    fx.UpsertServer(next);
+    fx.RunUntil([&] { return fx.AllHostsKnow(next); }, 6000);
+  }
+  for (const auto& h : fx.hosts) {
+    cr_expect(h->Knows("i-known"), "an odd entry is not a removal");
+    for (const store_update& u : h->updates) {
+      const auto* s = std::get_if<server_update>(&u);
+      cr_expect(s == nullptr || s->server.id != "i-odd");
+    }
+  }
+}
+
 Test(change_feed, one_host_watches_the_store_for_its_data_centre) {
   hosts_fixture fx(17501);
   fx.WaitForHub();
--- a/tray/testing/config_test.cc
+++ b/tray/testing/config_test.cc
@@ -18,6 +18,7 @@
 #include "tray/config/claim.h"
 #include "tray/config/delta.h"
 #include "tray/config/edit.h"
+#include "tray/testing/odd_json.h"
 
 using namespace baobabtray;  // NOLINT: test file
 
@@ -237,6 +238,47 @@
   cr_assert_gt(refused, 0);
 }
 
+// Guards against odd values in the store: each field of another type, a
+// fraction or out of range.
+Test(config, stored_values_with_an_odd_field_are_rejected) {
+  config c{.revision = 3, .text = "t"};
+  c.out_of_service.push_back({place_kind::kServer, "b"});
+  c.recent_edits.push_back({.revision = 3, .id = "e", .author = "a"});
+  const std::string good = DumpConfig(c);
+  cr_assert(ParseConfig(good).ok());
+  const typed_field kFields[] = {
+      {"/revision", field_type::kInteger},
+      {"/text", field_type::kString},
+      {"/out", field_type::kArray},
+      {"/out/0/kind", field_type::kString},
+      {"/out/0/name", field_type::kString},
+      {"/recent", field_type::kArray},
+      {"/recent/0/revision", field_type::kInteger},
+      {"/recent/0/id", field_type::kString},
+      {"/recent/0/by", field_type::kString},
+      {"/recent/0/kind", field_type::kString},
+      {"/recent/0/detail", field_type::kString},
+      {"/recent/0/at_ms", field_type::kInteger},
+  };
+  for (const typed_field& f : kFields) {
+    for (const std::string& odd : OddFor(f.type))
+      cr_expect_not(ParseConfig(WithField(good, f.pointer, odd)).ok(),
+                    "%s: %.40s", f.pointer.c_str(), odd.c_str());
+  }
+  const std::string claim = DumpClaim({.token = "t", .host = "h"});
+  cr_assert(ParseClaim(claim).ok());
+  const typed_field kClaimFields[] = {{"/state", field_type::kString},
+                                      {"/token", field_type::kString},
+                                      {"/host", field_type::kString},
+                                      {"/until_ms", field_type::kInteger},
+                                      {"/answer", field_type::kString}};
+  for (const typed_field& f : kClaimFields) {
+    for (const std::string& odd : OddFor(f.type))
+      cr_expect_not(ParseClaim(WithField(claim, f.pointer, odd)).ok(),
+                    "%s: %.40s", f.pointer.c_str(), odd.c_str());
+  }
+}
+
 Test(claim, released_claim_can_be_claimed_again) {
   fake_store store{.random = std::mt19937_64(1), .fault_rate = 0};
   claim_record released{.state = claim_state::kReleased, .token = "old"};
--- a/tray/testing/platform_test.cc
+++ b/tray/testing/platform_test.cc
@@ -12,6 +12,7 @@
 #include "platform/store.h"
 #include "tray/base/strings.h"
 #include "tray/standin/platform_store.h"
+#include "tray/testing/odd_json.h"
 
 using namespace baobabtray;            // NOLINT: test file
 using namespace baobabtray::platform;  // NOLINT: test file
@@ -199,6 +200,112 @@
       std::holds_alternative<ignored_item>(DecodeItem({.key = "their/key"})));
 }
 
+// Guards against an odd entry that ends the process, or is taken for something
+// else: numbers that wrap or lose their fraction, booleans read as numbers.
+Test(servers, entries_with_an_odd_field_are_ignored) {
+  const typed_field kFields[] = {
+      {"/service", field_type::kString},
+      {"/address", field_type::kString},
+      {"/zone", field_type::kString},
+      {"/slots", field_type::kInteger},
+      {"/state", field_type::kString},
+      {"/warmup_left_ms", field_type::kNumber},
+      {"/sequence", field_type::kInteger},
+      {"/born", field_type::kInteger},
+  };
+  for (const typed_field& f : kFields) {
+    for (const std::string& odd : OddFor(f.type)) {
+      store_update update = DecodeItem(
+          {.key = "servers/i-1", .value = WithField(kServer, f.pointer, odd)});
+      cr_expect(std::holds_alternative<ignored_item>(update), "%s: %.40s",
+                f.pointer.c_str(), odd.c_str());
+    }
+  }
+  for (const char* slots : {"0", "-1", "4294967297", "1e12"}) {
+    cr_expect_not(DecodeServer("i", WithField(kServer, "/slots", slots)).ok());
+  }
+  for (const char* address :
+       {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:4294967376", "10.0.0.9:-1",
+        "10.0.0.9:80.5", "10.0.0.9:", ":80", "[::1]:80", "10.0.0.9:80 "}) {
+    std::string text = "\"" + std::string(address) + "\"";
+    cr_expect_not(DecodeServer("i", WithField(kServer, "/address", text)).ok(),
+                  "%s", address);
+  }
+  cr_expect_not(DecodeServer("i", DeepJson()).ok());
+  cr_expect_not(DecodeServer("i", std::string(900'000, '[')).ok());
+  // A whole number may be written with a fraction of zero.
+  cr_expect_eq(DecodeServer("i", WithField(kServer, "/slots", "2.0"))->slots,
+               2);
+}
+
+Test(config, configuration_with_an_odd_field_is_rejected) {
+  const typed_field kFields[] = {
+      {"/version", field_type::kInteger},
+      {"/routes", field_type::kArray},
+      {"/routes/0/name", field_type::kString},
+      {"/routes/0/host", field_type::kString},
+      {"/routes/0/prefix", field_type::kString},
+      {"/routes/0/kind", field_type::kString},
+      {"/routes/0/timeout_ms", field_type::kNumber},
+      {"/routes/0/target_latency_ms", field_type::kNumber},
+      {"/routes/0/priority", field_type::kInteger},
+      {"/routes/0/gather", field_type::kArray},
+      {"/routes/0/gather/0", field_type::kString},
+      {"/routes/0/max_attempts", field_type::kInteger},
+      {"/routes/0/top_k", field_type::kInteger},
+      {"/routes/0/min_part_share", field_type::kNumber},
+      {"/routes/0/allowed_regions", field_type::kArray},
+      {"/routes/1/service", field_type::kString},
+      {"/routes/1/allowed_regions/0", field_type::kString},
+      {"/routes/2/targets", field_type::kArray},
+      {"/routes/2/targets/0/service", field_type::kString},
+      {"/routes/2/targets/0/weight", field_type::kNumber},
+      {"/services", field_type::kArray},
+      {"/services/0/name", field_type::kString},
+      {"/services/0/max_connections", field_type::kInteger},
+      {"/services/0/cold_per_s", field_type::kNumber},
+      {"/limits/max_header_bytes", field_type::kInteger},
+      {"/limits/max_body_bytes", field_type::kInteger},
+  };
+  for (const typed_field& f : kFields) {
+    for (const std::string& odd : OddFor(f.type)) {
+      std::string text = WithField(kConfig, f.pointer, odd);
+      cr_expect_not(DecodeConfig(text).ok(), "%s: %.40s", f.pointer.c_str(),
+                    odd.c_str());
+    }
+  }
+  const typed_field kNegative[] = {
+      {"/routes/0/timeout_ms"},     {"/routes/0/target_latency_ms"},
+      {"/routes/0/max_attempts"},   {"/routes/0/top_k"},
+      {"/routes/0/min_part_share"}, {"/services/0/max_connections"},
+      {"/services/0/cold_per_s"},   {"/limits/max_header_bytes"},
+      {"/limits/max_body_bytes"}};
+  for (const typed_field& f : kNegative) {
+    cr_expect_not(DecodeConfig(WithField(kConfig, f.pointer, "-3")).ok(), "%s",
+                  f.pointer.c_str());
+  }
+  cr_expect_not(DecodeConfig(DeepJson()).ok());
+}
+
+Test(hosts, odd_entries_of_hosts_have_no_address) {
+  const std::string good = R"({"data_centre":"z","peers":"10.0.0.1:7"})";
+  for (const char* field : {"/data_centre", "/peers"}) {
+    for (const std::string& odd : OddFor(field_type::kString)) {
+      store_update update = DecodeItem(
+          {.key = "baobabtray/hosts/h", .value = WithField(good, field, odd)});
+      const registered_host& host = std::get<host_update>(update).host;
+      cr_expect(host.data_centre.empty() || host.peer_address.port == 0, "%s",
+                field);
+    }
+  }
+  for (const char* hosts :
+       {"-1", "0", "2147483647", "8.5", "1e3", "", "true"}) {
+    store_update update =
+        DecodeItem({.key = "baobabtray/fleet-size", .value = hosts});
+    cr_expect(std::holds_alternative<ignored_item>(update), "%s", hosts);
+  }
+}
+
 Test(servers, item_type_follows_from_its_key) {
   cr_assert(std::holds_alternative<server_removal>(
       DecodeItem({.key = "servers/i-1", .removed = true})));
@@ -376,6 +483,35 @@
   cr_assert_not(load("").has_value());
   cr_assert_not(load("3").has_value());
   cr_assert_not(load("a,b,c").has_value());
+  for (const char* odd : {"-1,0", "0,-1", "1.5,0", "2147483647,2147483647",
+                          "99999999999,0", "nan,inf", "true,1"}) {
+    cr_expect_not(load(odd).has_value(), "%s", odd);
+  }
+}
+
+// Each number in a server's or caller's header is in its range, or ignored.
+Test(replies, odd_numbers_in_headers_have_no_effect) {
+  for (const char* odd : {"nan", "-nan", "inf", "-inf", "1e999", "-1", "0x10",
+                          "1,2", " 1", "true", "[]", ""}) {
+    server_reply r =
+        ServerCodec().decode(MakeResult(503, {{"Not-Executed", "1"},
+                                              {"Server-Limit", odd},
+                                              {"Retry-After", odd}}),
+                             false);
+    cr_expect(!r.rate_limit || *r.rate_limit >= 0, "%s", odd);
+    cr_expect(!r.pause || (*r.pause > 0 && *r.pause <= kMaxPause), "%s", odd);
+  }
+  for (const char* odd : {"nan", "-nan", "inf", "-inf", "1e999", "-1e300",
+                          "1e300", "0x10", "1,2", " 1", "true"}) {
+    http_request r = MakeRequest();
+    for (auto& [name, value] : r.headers) {
+      if (name == "Deadline-Remaining") value = odd;
+    }
+    auto decoded = CallerCodec().decode(r);
+    cr_expect(!decoded.ok() ||
+                  (decoded->timeout > 0 && decoded->timeout <= 600 * kSecond),
+              "%s: %ld", odd, decoded.ok() ? decoded->timeout : 0);
+  }
 }
 
 // ---- Store -----------------------------------------------------------------
@@ -411,6 +547,67 @@
   cr_assert_eq(fx.List().status, store_status::kFailed);
 }
 
+// Guards against one odd row that makes each listing and watch a failed call,
+// so that a host never learns of any other entry.
+Test(store, odd_rows_do_not_hide_the_others) {
+  asio::io_context loop(1);
+  std::string body;
+  standin::test_http_server server(
+      loop, "127.0.0.1", 17308,
+      [&](std::shared_ptr<standin::test_http_connection> c,
+          const standin::test_http_request&) { c->Reply(200, {}, body); });
+  server.Listen();
+  fetcher http(loop);
+  directory_store client = OpenStore(&http, {"127.0.0.1", 17308},
+                                     [](std::string_view, store_status) {});
+  auto list = [&](const std::string& text) {
+    body = text;
+    store_read_result result;
+    bool done = false;
+    client.list("", [&](store_read_result r) {
+      result = std::move(r);
+      done = true;
+    });
+    for (int i = 0; i < 5000 && !done; ++i)
+      loop.run_for(std::chrono::milliseconds(1));
+    cr_assert(done);
+    return result;
+  };
+  const std::string good =
+      R"({"items":[{"key":"a","value":"dg==","revision":5},)"
+      R"({"key":"b","value":"dg==","revision":6}],)"
+      R"("has_more":false,"current_rev":7})";
+  for (const auto& [field, type] :
+       {typed_field{"/items/0/key", field_type::kString},
+        {"/items/0/value", field_type::kString},
+        {"/items/0/revision", field_type::kInteger}}) {
+    for (const std::string& odd : OddFor(type)) {
+      if (odd.size() > 1000 || odd == "1e999") continue;  // no JSON at all
+      store_read_result r = list(WithField(good, field, odd));
+      cr_expect_eq(r.status, store_status::kOk, "%s: %s", field.c_str(),
+                   odd.c_str());
+      bool found = false;
+      for (const stored_item& i : r.items) found |= i.key == "b";
+      cr_expect(found, "%s: %s", field.c_str(), odd.c_str());
+      // The entry is not taken for a removed one.
+      bool kept = field == "/items/0/key";
+      for (const stored_item& i : r.items) kept |= i.key == "a" && !i.removed;
+      cr_expect(kept, "%s: %s", field.c_str(), odd.c_str());
+    }
+  }
+  // What concerns the whole answer makes it a failed call.
+  for (const auto& [field, type] :
+       {typed_field{"/current_rev", field_type::kInteger},
+        {"/has_more", field_type::kBool},
+        {"/items", field_type::kArray}}) {
+    for (const std::string& odd : OddFor(type)) {
+      cr_expect_eq(list(WithField(good, field, odd)).status,
+                   store_status::kFailed, "%s: %.40s", field.c_str(),
+                   odd.c_str());
+    }
+  }
+}
+
 Test(store, host_entry_is_removed_with_its_lease) {
   store_fixture fx(17303);
   uint64_t lease = 0;
--- a/tray/testing/text_test.cc
+++ b/tray/testing/text_test.cc
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <sstream>
 #include <string>
+#include <vector>
 
 #include "tray/base/strings.h"
 #include "tray/text/settings.h"
@@ -147,6 +148,62 @@
   cr_assert_not(ParseSettings(good.substr(0, good.find("relay:"))).ok());
 }
 
+// Each field of another type, a fraction or out of range is an error that names
+// it, and no field ends the process.
+Test(settings, odd_fields_are_errors) {
+  const std::vector<std::string> good = {
+      "name: h",
+      "data_centre: d",
+      "region: r",
+      "callers: 1.2.3.4:1",
+      "peers: 1.2.3.4:2",
+      "admin: 1.2.3.4:3",
+      "store: 1.2.3.4:4",
+      "seeds: [1.2.3.4:9]",
+      "threads: 1",
+      "log_level: info",
+      "drain_ms: 5",
+      "log_lines_per_s: 40",
+      "interface: platform",
+      "relay:",
+      "  ready: 1.2.3.4:5",
+      "  places: [{data_centre: d, region: r}]",
+      "  extra_ratio: 0.25",
+      "  extra_floor: 7",
+      "  extra_window_s: 2.5",
+      "  apply_s: 4",
+      "  leave_s: 3",
+      "  grace_s: 6"};
+  auto parse_with = [&](size_t field, const std::string& odd) {
+    std::string text;
+    for (size_t i = 0; i < good.size(); ++i) {
+      std::string line = good[i];
+      if (i == field) line = line.substr(0, line.find(':') + 1) + " " + odd;
+      text += line + "\n";
+    }
+    return ParseSettings(text);
+  };
+  cr_assert(parse_with(good.size(), "").ok());
+  const std::string deep = std::string(20'000, '[') + std::string(20'000, ']');
+  for (size_t i = 0; i < good.size(); ++i) {
+    if (good[i] == "relay:") continue;
+    bool is_name = good[i].find("name") == 0 || good[i].find("data_c") == 0 ||
+                   good[i].find("region") == 0;
+    std::vector<std::string> odds = {"{a: {b: c}}", deep, "[[1], [2]]"};
+    if (!is_name) {
+      odds.insert(odds.end(), {"-1", "1e300", "-.inf", ".nan", "nan", "true",
+                               "1.2.3.4:65536", "99999999999999999999"});
+    }
+    for (const std::string& odd : odds) {
+      cr_expect_not(parse_with(i, odd).ok(), "%s: %.40s", good[i].c_str(),
+                    odd.c_str());
+    }
+  }
+  for (size_t whole : {8, 10, 11, 17}) {
+    cr_expect_not(parse_with(whole, "1.5").ok(), "%s", good[whole].c_str());
+  }
+}
+
 Test(settings, report_all_errors) {
   auto bad = ParseSettings(
       "name: e\ndata_centre: d\nregion: r\ncallers: '1.2.3.4:1'\n"
--- a/tray/testing/wire_test.cc
+++ b/tray/testing/wire_test.cc
@@ -7,9 +7,11 @@
 #include <string>
 
 #include "tray/base/strings.h"
+#include "tray/testing/odd_json.h"
 #include "tray/wire/backend_wire.h"
 #include "tray/wire/caller_api.h"
 #include "tray/wire/peer_wire.h"
+#include "tray/wire/store_client.h"
 
 using namespace baobabtray;  // NOLINT: test file
 
@@ -100,6 +102,162 @@
   }
 }
 
+// Guards against odd reports and messages: each field of another type, a
+// fraction or out of range.
+Test(backend_wire, health_reports_with_an_odd_field_are_rejected) {
+  const std::string good =
+      R"({"boot":1,"uptime_ms":2,"state":"ready","cold_limit":3,"load":4,)"
+      R"("versions":[{"version":1,"total":2,"shards":[0,1]}]})";
+  cr_assert(ParseHealthReport(good).ok());
+  const typed_field kFields[] = {
+      {"/boot", field_type::kInteger},
+      {"/uptime_ms", field_type::kInteger},
+      {"/state", field_type::kString},
+      {"/cold_limit", field_type::kInteger},
+      {"/load", field_type::kInteger},
+      {"/versions", field_type::kArray},
+      {"/versions/0/version", field_type::kInteger},
+      {"/versions/0/total", field_type::kInteger},
+      {"/versions/0/shards", field_type::kArray},
+      {"/versions/0/shards/1", field_type::kInteger},
+  };
+  for (const typed_field& f : kFields) {
+    for (const std::string& odd : OddFor(f.type)) {
+      if (f.type == field_type::kArray && odd == "{}") continue;  // no versions
+      cr_expect_not(ParseHealthReport(WithField(good, f.pointer, odd)).ok(),
+                    "%s: %.40s", f.pointer.c_str(), odd.c_str());
+    }
+    if (f.type != field_type::kInteger) continue;
+    cr_expect_not(ParseHealthReport(WithField(good, f.pointer, "-1")).ok(),
+                  "%s", f.pointer.c_str());
+  }
+}
+
+Test(backend_wire, odd_numbers_in_headers_are_ignored) {
+  for (const char* odd : {"-1", "1.5", "nan", "99999999999999999999", "true"}) {
+    fetch_result r = {.status = 200,
+                      .headers = {{"X-Boot-Id", "1"},
+                                  {"X-Uptime-Ms", "1"},
+                                  {"X-State", "ready"},
+                                  {"X-Cold-Limit", odd},
+                                  {"X-Load", odd}},
+                      .body = "{}"};
+    attempt_result a = ParseAttemptResult(r);
+    cr_expect(a.has_report);
+    cr_expect_geq(a.report.load, 0, "%s", odd);
+    cr_expect_geq(a.report.cold_limit, 0, "%s", odd);
+    http_request forwarded = {.headers = {{"x-service", "s"},
+                                          {"x-shard", odd},
+                                          {"x-index-version", "1"},
+                                          {"x-priority", "urgent"},
+                                          {"x-idempotent", "1"},
+                                          {"x-deadline-ms", "5"}}};
+    cr_expect_not(ParseShardRequest(forwarded).ok(), "shard %s", odd);
+    forwarded.headers[1].second = "1";
+    cr_assert(ParseShardRequest(forwarded).ok());
+    for (const char* deadline : {odd, "0", "9223372036854775807"}) {
+      forwarded.headers[5].second = deadline;
+      cr_expect_not(ParseShardRequest(forwarded).ok(), "%s", deadline);
+    }
+  }
+}
+
+Test(peer_wire, digests_with_an_odd_field_are_rejected) {
+  const std::string good =
+      R"({"from":{"n":"a","d":"z","p":"1.2.3.4:5","i":9,"s":"live"},)"
+      R"("revision":4,"changes":[],"evidence":[{"n":"s","b":3,"u":4,)"
+      R"("s":"cold","c":5,"v":[[1,2,[0,1]]]}]})";
+  cr_assert(ParseDigest(good).ok());
+  const typed_field kFields[] = {
+      {"/from/n", field_type::kString},
+      {"/from/d", field_type::kString},
+      {"/from/p", field_type::kString},
+      {"/from/i", field_type::kInteger},
+      {"/from/s", field_type::kString},
+      {"/revision", field_type::kInteger},
+      {"/changes", field_type::kArray},
+      {"/evidence", field_type::kArray},
+      {"/evidence/0/n", field_type::kString},
+      {"/evidence/0/b", field_type::kInteger},
+      {"/evidence/0/u", field_type::kInteger},
+      {"/evidence/0/s", field_type::kString},
+      {"/evidence/0/c", field_type::kInteger},
+      {"/evidence/0/v", field_type::kArray},
+      {"/evidence/0/v/0/0", field_type::kInteger},
+      {"/evidence/0/v/0/1", field_type::kInteger},
+      {"/evidence/0/v/0/2", field_type::kArray},
+      {"/evidence/0/v/0/2/0", field_type::kInteger},
+  };
+  for (const typed_field& f : kFields) {
+    for (const std::string& odd : OddFor(f.type)) {
+      cr_expect_not(ParseDigest(WithField(good, f.pointer, odd)).ok(),
+                    "%s: %.40s", f.pointer.c_str(), odd.c_str());
+    }
+    if (f.type != field_type::kInteger) continue;
+    cr_expect_not(ParseDigest(WithField(good, f.pointer, "-1")).ok(), "%s",
+                  f.pointer.c_str());
+  }
+  // A member with the highest incarnation could not be contradicted any more.
+  cr_expect_not(
+      ParseDigest(WithField(good, "/from/i", "18446744073709551615")).ok());
+}
+
+// Guards against a delta whose lengths wrap around, from a peer that is not
+// well: reading beyond the text ended the process.
+Test(peer_wire, deltas_with_odd_lengths_are_rejected) {
+  config base{.revision = 3, .text = "one\ntwo\n"};
+  config next{.revision = 4, .text = "one\n2\n"};
+  std::string good = DumpConfigMessage(MakeConfigMessage(next, &base));
+  auto apply = [&](const std::string& text) {
+    auto m = ParseConfigMessage(text);
+    return m.ok() && ApplyConfigMessage(*m, &base).has_value();
+  };
+  cr_assert(apply(good));
+  for (const char* field : {"/delta/2", "/delta/3"}) {
+    for (const char* odd : {"18446744073709551615", "18446744073709551614",
+                            "1000", "-1", "2.5", "true", "null", "1e300"}) {
+      cr_expect_not(apply(WithField(good, field, odd)), "%s %s", field, odd);
+    }
+  }
+  std::string wraps = WithField(good, "/delta/2", "2");
+  cr_expect_not(apply(WithField(wraps, "/delta/3", "18446744073709551615")));
+  const typed_field kFields[] = {
+      {"/meta", field_type::kString},    {"/base", field_type::kInteger},
+      {"/delta", field_type::kArray},    {"/delta/0", field_type::kString},
+      {"/delta/1", field_type::kString}, {"/delta/4", field_type::kString},
+  };
+  for (const typed_field& f : kFields) {
+    for (const std::string& odd : OddFor(f.type))
+      cr_expect_not(apply(WithField(good, f.pointer, odd)), "%s: %.40s",
+                    f.pointer.c_str(), odd.c_str());
+  }
+}
+
+// Guards against one odd entry in the list of hosts, or one odd answer, that
+// ends the process: the types of fields were not checked.
+Test(peer_wire, odd_hosts_and_revisions_are_ignored) {
+  const std::string good =
+      R"([{"name":"a","peers":"1.2.3.4:5","leaving":false},)"
+      R"({"name":"b","peers":"1.2.3.4:6"}])";
+  cr_assert_eq(DecodeHostList(good).size(), 2u);
+  const typed_field kFields[] = {{"/0/name", field_type::kString},
+                                 {"/0/peers", field_type::kString},
+                                 {"/0/leaving", field_type::kBool}};
+  for (const typed_field& f : kFields) {
+    for (const std::string& odd : OddFor(f.type)) {
+      if (odd.size() > 1000 || odd == "1e999") continue;  // no list at all
+      auto hosts = DecodeHostList(WithField(good, f.pointer, odd));
+      cr_expect_eq(hosts.size(), 1u, "%s: %s", f.pointer.c_str(), odd.c_str());
+    }
+  }
+  for (const std::string& odd : {std::string("{}"), std::string("[7,null,[]]"),
+                                 DeepJson(), std::string()})
+    cr_expect(DecodeHostList(odd).empty());
+  cr_expect_eq(ParseRevision(R"({"revision":7})"), 7);
+  for (const std::string& odd : OddFor(field_type::kInteger))
+    cr_expect_eq(ParseRevision("{\"revision\":" + odd + "}"), -1);
+}
+
 Test(peer_wire, signatures_cover_path_body_and_time) {
   std::string auth = SignPeerMessage("secret", "/peer/digest", "body", 1000);
   cr_assert(VerifyPeerMessage("secret", "/peer/digest", "body", auth, 2000));
--- a/tray/tool/tool_main.cc
+++ b/tray/tool/tool_main.cc
@@ -17,6 +17,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "tray/base/json.h"
 #include "tray/base/run_main.h"
 #include "tray/base/strings.h"
 #include "tray/text/topology.h"
@@ -117,7 +118,7 @@
                 fmt::format("{} did not respond; try another host with --admin",
                             o.admin));
   }
-  *out = json::parse(r.body, nullptr, false);
+  *out = ParseJson(r.body);
   if (r.status == 401) {
     return Fail(kUsageError,
                 "the host rejected the token; pass a valid one with "
@@ -320,16 +321,19 @@
 
 int Query(const options& o, const std::string& service,
           const std::string& payload) {
-  json parsed = json::parse(payload.empty() ? "null" : payload, nullptr, false);
+  json parsed = ParseJson(payload.empty() ? "null" : payload);
   if (parsed.is_discarded())
-    return Fail(kUsageError, "the payload is not valid JSON");
+    return Fail(kUsageError,
+                "the payload is not valid JSON, or nested too deep");
   json body = {{"service", service}, {"payload", parsed}};
   if (o.deadline_ms > 0) body["deadline_ms"] = o.deadline_ms;
   std::string text = body.dump();
   reply r = SendRequest(o.callers, "/v1/query", "", &text);
   if (!r.received) return Fail(kUnreachable, o.callers + " did not respond");
-  json answer = json::parse(r.body, nullptr, false);
-  if (o.as_json || !answer.contains("coverage")) {
+  json answer = ParseJson(r.body);
+  if (answer.is_discarded()) {
+    fmt::print("{}\n", r.body);  // results may be nested deeper
+  } else if (o.as_json || !answer.contains("coverage")) {
     fmt::print("{}\n", answer.dump(2));
   } else {
     const json& coverage = answer["coverage"];
--- a/tray/wire/backend_wire.cc
+++ b/tray/wire/backend_wire.cc
@@ -7,13 +7,30 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "tray/base/json.h"
 #include "tray/base/strings.h"
+#include "tray/wire/caller_api.h"
 
 namespace baobabtray {
 namespace {
 
 // Index versions in one health report, at most.
 constexpr size_t kMaxVersions = 64;
+// A larger cold limit or load is not plausible.
+constexpr int kMaxReportedCount = 1'000'000;
+
+// Value of a header that counts requests; 0 if it is absent or not plausible.
+int CountIn(const fetch_result& reply, std::string_view header) {
+  int count = ParseNumber<int>(HeaderOf(reply, header)).value_or(0);
+  return count >= 0 && count <= kMaxReportedCount ? count : 0;
+}
+
+// The same for an optional field of a health report.
+int CountIn(const nlohmann::json& report, const char* name) {
+  const nlohmann::json* count = FindField(report, name);
+  return count == nullptr ? 0
+                          : IntegerOf<int>(*count, name, 0, kMaxReportedCount);
+}
 
 // Reads the state headers of a reply. Returns nullopt if one is missing or
 // malformed.
@@ -22,12 +39,10 @@
   auto uptime = ParseNumber<uint64_t>(HeaderOf(reply, "X-Uptime-Ms"));
   auto state = ValueOf(kReportedStateNames, HeaderOf(reply, "X-State"));
   if (!boot || !uptime || !state) return std::nullopt;
-  return server_report{
-      .stamp = {.boot = *boot, .uptime_ms = *uptime},
-      .state = *state,
-      .cold_limit =
-          ParseNumber<int>(HeaderOf(reply, "X-Cold-Limit")).value_or(0),
-      .load = ParseNumber<int>(HeaderOf(reply, "X-Load")).value_or(0)};
+  return server_report{.stamp = {.boot = *boot, .uptime_ms = *uptime},
+                       .state = *state,
+                       .cold_limit = CountIn(reply, "X-Cold-Limit"),
+                       .load = CountIn(reply, "X-Load")};
 }
 
 attempt_end ToAttemptEnd(const fetch_result& reply) {
@@ -68,7 +83,9 @@
   auto rank = ValueOf(kPriorityNames, HeaderOf(r, "x-priority"));
   auto deadline = ParseNumber<int64_t>(HeaderOf(r, "x-deadline-ms"));
   std::string_view idempotent = HeaderOf(r, "x-idempotent");
-  if (!shard || !version || !rank || !deadline || idempotent.empty()) {
+  bool in_range = shard && *shard >= 0 && *shard < kMaxShardsPerService &&
+                  deadline && *deadline >= 1 && *deadline <= kMaxDeadlineMs;
+  if (!in_range || !version || !rank || idempotent.empty()) {
     return absl::InvalidArgumentError(
         "a required header is missing or malformed");
   }
@@ -119,22 +136,33 @@
          v.shards.front() >= 0 && v.shards.back() < v.shard_count;
 }
 
+version_report VersionOf(const nlohmann::json& version,
+                         const nlohmann::json& total,
+                         const nlohmann::json& shards) {
+  version_report report{.version = IntegerOf<uint64_t>(version, "version"),
+                        .shard_count = IntegerOf<int>(total, "total")};
+  for (const auto& shard : ArrayOf(shards, "shards")) {
+    report.shards.push_back(IntegerOf<int>(shard, "shards"));
+  }
+  return report;
+}
+
 absl::StatusOr<health_report> ParseHealthReport(std::string_view text) {
-  nlohmann::json j = nlohmann::json::parse(text, nullptr, false);
+  nlohmann::json j = ParseJson(text);
   health_report h;
   try {
-    j.at("boot").get_to(h.report.stamp.boot);
-    j.at("uptime_ms").get_to(h.report.stamp.uptime_ms);
-    auto state = ValueOf(kReportedStateNames, j.at("state").get<std::string>());
+    h.report.stamp.boot = IntegerOf<uint64_t>(j.at("boot"), "boot");
+    h.report.stamp.uptime_ms =
+        IntegerOf<uint64_t>(j.at("uptime_ms"), "uptime_ms");
+    auto state = ValueOf(kReportedStateNames, StringOf(j.at("state"), "state"));
     if (!state)
       return absl::DataLossError("health report has an unknown state");
     h.report.state = *state;
-    h.report.cold_limit = j.value("cold_limit", 0);
-    h.report.load = j.value("load", 0);
-    for (const auto& v : j.at("versions")) {
-      version_report report{.version = v.at("version"),
-                            .shard_count = v.at("total")};
-      v.at("shards").get_to(report.shards);
+    h.report.cold_limit = CountIn(j, "cold_limit");
+    h.report.load = CountIn(j, "load");
+    for (const auto& v : ArrayOf(j.at("versions"), "versions")) {
+      version_report report =
+          VersionOf(v.at("version"), v.at("total"), v.at("shards"));
       std::sort(report.shards.begin(), report.shards.end());
       if (!IsValidVersionReport(report) || h.versions.size() >= kMaxVersions) {
         return absl::DataLossError(
@@ -142,7 +170,7 @@
       }
       h.versions.push_back(std::move(report));
     }
-  } catch (const nlohmann::json::exception&) {
+  } catch (const std::exception&) {
     return absl::DataLossError("health report is malformed");
   }
   return h;
--- a/tray/wire/backend_wire.h
+++ b/tray/wire/backend_wire.h
@@ -6,6 +6,7 @@
 #define TRAY_WIRE_BACKEND_WIRE_H_
 
 #include <cstdint>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -50,6 +51,10 @@
 // total, and the total is within the limit for a service. Reports from servers
 // and peers are used only if this holds.
 bool IsValidVersionReport(const version_report& v);
+// Decodes a version report. Throws std::exception if a field is invalid.
+version_report VersionOf(const nlohmann::json& version,
+                         const nlohmann::json& total,
+                         const nlohmann::json& shards);
 
 struct health_report {
   server_report report;
--- a/tray/wire/caller_api.cc
+++ b/tray/wire/caller_api.cc
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "tray/base/json.h"
+
 namespace baobabtray {
 namespace {
 
@@ -15,18 +17,6 @@
   return absl::InvalidArgumentError({reason.data(), reason.size()});
 }
 
-// Parses JSON up to kMaxJsonDepth. Returns a discarded value if it is malformed
-// or too deep; `too_deep` tells the latter.
-json ParseBounded(std::string_view body, bool* too_deep) {
-  auto check = [too_deep](int depth, json::parse_event_t event, json&) {
-    bool opens = event == json::parse_event_t::object_start ||
-                 event == json::parse_event_t::array_start;
-    if (opens && depth >= kMaxJsonDepth) *too_deep = true;
-    return !*too_deep;
-  };
-  return json::parse(body, check, false);
-}
-
 absl::Status ReadDeadline(const json& j, query_request* out) {
   if (!j.is_number_integer()) return Invalid("'deadline_ms' must be a number");
   int64_t ms = j.get<int64_t>();
@@ -73,11 +63,10 @@
 }  // namespace
 
 absl::StatusOr<query_request> ParseQueryRequest(std::string_view body) {
-  bool too_deep = false;
-  json j = ParseBounded(body, &too_deep);
-  if (too_deep) {
+  if (IsNestedDeeper(body, kMaxJsonDepth)) {
     return Invalid(fmt::format("JSON nested deeper than {}", kMaxJsonDepth));
   }
+  json j = ParseJson(body);
   if (j.is_discarded()) return Invalid("the body is not well-formed JSON");
   if (!j.is_object()) return Invalid("the body must be a JSON object");
   query_request request;
--- a/tray/wire/caller_api.h
+++ b/tray/wire/caller_api.h
@@ -16,7 +16,6 @@
 
 namespace baobabtray {
 
-constexpr int kMaxJsonDepth = 32;
 constexpr int64_t kMaxDeadlineMs = 600'000;
 constexpr size_t kMaxKeyBytes = 128;
 
--- a/tray/wire/peer_wire.cc
+++ b/tray/wire/peer_wire.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "tray/base/hash.h"
+#include "tray/base/json.h"
 #include "tray/base/strings.h"
 #include "tray/wire/backend_wire.h"
 
@@ -27,11 +28,12 @@
 
 member ParseMember(const json& j) {
   member m;
-  j.at("n").get_to(m.name);
-  j.at("d").get_to(m.data_centre);
-  j.at("i").get_to(m.incarnation);
-  auto peers = ParseEndpoint(j.at("p").get<std::string>());
-  auto status = ValueOf(kMemberStatusNames, j.at("s").get<std::string>());
+  m.name = StringOf(j.at("n"), "n");
+  m.data_centre = StringOf(j.at("d"), "d");
+  // Leaves room for higher ones, by which a member contradicts false reports.
+  m.incarnation = IntegerOf<uint64_t>(j.at("i"), "i", 0, kMaxIncarnation);
+  auto peers = ParseEndpoint(StringOf(j.at("p"), "p"));
+  auto status = ValueOf(kMemberStatusNames, StringOf(j.at("s"), "s"));
   if (!peers.ok() || !status || m.name.empty()) {
     throw json::other_error::create(501, "invalid member", &j);
   }
@@ -52,16 +54,15 @@
 
 evidence_item ParseEvidence(const json& j) {
   evidence_item e;
-  j.at("n").get_to(e.server);
-  j.at("b").get_to(e.stamp.boot);
-  j.at("u").get_to(e.stamp.uptime_ms);
-  j.at("c").get_to(e.cold_limit);
-  auto state = ValueOf(kReportedStateNames, j.at("s").get<std::string>());
+  e.server = StringOf(j.at("n"), "n");
+  e.stamp.boot = IntegerOf<uint64_t>(j.at("b"), "b");
+  e.stamp.uptime_ms = IntegerOf<uint64_t>(j.at("u"), "u");
+  e.cold_limit = IntegerOf<int>(j.at("c"), "c", 0);
+  auto state = ValueOf(kReportedStateNames, StringOf(j.at("s"), "s"));
   if (!state) throw json::other_error::create(501, "unknown state", &j);
   e.state = *state;
-  for (const json& v : j.at("v")) {
-    version_report report{.version = v.at(0), .shard_count = v.at(1)};
-    v.at(2).get_to(report.shards);
+  for (const json& v : ArrayOf(j.at("v"), "v")) {
+    version_report report = VersionOf(v.at(0), v.at(1), v.at(2));
     if (!IsValidVersionReport(report))
       throw json::other_error::create(501, "invalid version", &j);
     e.versions.push_back(std::move(report));
@@ -94,21 +95,32 @@
 }
 
 absl::StatusOr<digest> ParseDigest(std::string_view text) {
-  json j = json::parse(text, nullptr, false);
+  json j = ParseJson(text);
   digest d;
   try {
     d.from = ParseMember(j.at("from"));
-    j.at("revision").get_to(d.revision);
-    for (const json& m : j.at("changes")) d.changes.push_back(ParseMember(m));
-    for (const json& e : j.at("evidence")) {
+    d.revision = IntegerOf<int64_t>(j.at("revision"), "revision", 0);
+    for (const json& m : ArrayOf(j.at("changes"), "changes")) {
+      d.changes.push_back(ParseMember(m));
+    }
+    for (const json& e : ArrayOf(j.at("evidence"), "evidence")) {
       d.evidence.push_back(ParseEvidence(e));
     }
-  } catch (const json::exception&) {
+  } catch (const std::exception&) {
     return absl::InvalidArgumentError("digest is malformed");
   }
   return d;
 }
 
+int64_t ParseRevision(std::string_view text) {
+  json j = ParseJson(text);
+  try {
+    return IntegerOf<int64_t>(j.at("revision"), "revision", 0);
+  } catch (const std::exception&) {
+    return -1;
+  }
+}
+
 std::string DumpConfigMessage(const config_message& m) {
   json j = {{"meta", DumpConfig(m.meta)}, {"base", m.base_revision}};
   if (m.base_revision == 0) {
@@ -122,24 +134,24 @@
 }
 
 absl::StatusOr<config_message> ParseConfigMessage(std::string_view text) {
-  json j = json::parse(text, nullptr, false);
+  json j = ParseJson(text);
   config_message m;
   try {
-    absl::StatusOr<config> meta = ParseConfig(j.at("meta").get<std::string>());
+    absl::StatusOr<config> meta = ParseConfig(StringOf(j.at("meta"), "meta"));
     if (!meta.ok()) return meta.status();
     m.meta = *std::move(meta);
-    j.at("base").get_to(m.base_revision);
+    m.base_revision = IntegerOf<int64_t>(j.at("base"), "base", 0);
     if (m.base_revision == 0) {
-      j.at("whole").get_to(m.full_text);
+      m.full_text = StringOf(j.at("whole"), "whole");
     } else {
-      const json& d = j.at("delta");
-      m.delta = {.base_fingerprint = d.at(0),
-                 .result_fingerprint = d.at(1),
-                 .prefix_bytes = d.at(2),
-                 .suffix_bytes = d.at(3),
-                 .replacement = d.at(4)};
+      const json& d = ArrayOf(j.at("delta"), "delta");
+      m.delta = {.base_fingerprint = StringOf(d.at(0), "delta"),
+                 .result_fingerprint = StringOf(d.at(1), "delta"),
+                 .prefix_bytes = IntegerOf<size_t>(d.at(2), "delta"),
+                 .suffix_bytes = IntegerOf<size_t>(d.at(3), "delta"),
+                 .replacement = StringOf(d.at(4), "delta")};
     }
-  } catch (const json::exception&) {
+  } catch (const std::exception&) {
     return absl::InvalidArgumentError("configuration message is malformed");
   }
   return m;
--- a/tray/wire/peer_wire.h
+++ b/tray/wire/peer_wire.h
@@ -47,6 +47,9 @@
 std::string DumpDigest(const digest& d);
 absl::StatusOr<digest> ParseDigest(std::string_view json);
 
+// The revision in a peer's answer to /peer/revision; -1 if it can't be read.
+int64_t ParseRevision(std::string_view text);
+
 // A configuration sent to a peer: its full text, or a delta to a base revision.
 struct config_message {
   config meta;  // without text; only the recent edits after the base
--- a/tray/wire/store_client.cc
+++ b/tray/wire/store_client.cc
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "tray/base/json.h"
 #include "tray/base/strings.h"
 
 namespace baobabtray {
@@ -27,8 +28,35 @@
   }
 }
 
+// Decodes an entry of the host list. Returns nullopt if it is not one.
+std::optional<listed_host> DecodeHost(const nlohmann::json& item) {
+  try {
+    auto peers = ParseEndpoint(StringOf(item.at("peers"), "peers"));
+    if (!peers.ok()) return std::nullopt;
+    listed_host host{.peers = *peers};
+    if (const auto* name = FindField(item, "name"))
+      host.name = StringOf(*name, "name");
+    if (const auto* leaving = FindField(item, "leaving"))
+      host.leaving = BoolOf(*leaving, "leaving");
+    return host;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 }  // namespace
 
+std::vector<listed_host> DecodeHostList(std::string_view text) {
+  std::vector<listed_host> hosts;
+  nlohmann::json list = ParseJson(text);
+  if (!list.is_array()) return hosts;
+  for (const nlohmann::json& item : list) {
+    std::optional<listed_host> host = DecodeHost(item);
+    if (host) hosts.push_back(*std::move(host));
+  }
+  return hosts;
+}
+
 void store_client::Call(std::string_view name, fetch_request request,
                         store_callback done) {
   request.to = store_;
@@ -76,21 +104,8 @@
     std::function<void(std::vector<listed_host>)> done) {
   Call("hosts", {.method = "GET", .path = "/v1/hosts", .timeout = kCallTimeout},
        [done = std::move(done)](store_result result) {
-         std::vector<listed_host> hosts;
-         nlohmann::json list =
-             nlohmann::json::parse(result.value, nullptr, false);
-         if (result.fault != store_fault::kNone || !list.is_array()) {
-           return done({});
-         }
-         for (const nlohmann::json& item : list) {
-           if (!item.is_object()) continue;
-           auto peers = ParseEndpoint(item.value("peers", ""));
-           if (!peers.ok()) continue;
-           hosts.push_back({.name = item.value("name", ""),
-                            .peers = *peers,
-                            .leaving = item.value("leaving", false)});
-         }
-         done(std::move(hosts));
+         if (result.fault != store_fault::kNone) return done({});
+         done(DecodeHostList(result.value));
        });
 }
 
--- a/tray/wire/store_client.h
+++ b/tray/wire/store_client.h
@@ -28,6 +28,9 @@
   bool leaving = false;
 };
 
+// Decodes the list of hosts. Entries that can't be read are left out.
+std::vector<listed_host> DecodeHostList(std::string_view text);
+
 class store_client {
  public:
   store_client(fetcher* http, const endpoint& store, metrics* counters)
