--- a/tray/standin/platform_store.cc
+++ b/tray/standin/platform_store.cc
@@ -54,6 +54,10 @@
   NotifyWatchers();
 }
 
+void platform_store::SilenceConnections() {
+  for (const connection_ptr& c : http_.connections()) c->StopResponding();
+}
+
 void platform_store::CompactHistory() {
   history_.clear();
   compacted_revision_ = revision_;
--- a/tray/standin/platform_store.h
+++ b/tray/standin/platform_store.h
@@ -39,6 +39,8 @@
   void CompactHistory();
   // Pending watches are never answered. Their connections stay open.
   void StallWatches();
+  // Never answers again on the connections that are open now.
+  void SilenceConnections();
   // Expires all leases and removes their items.
   void ExpireLeases();
 
--- a/tray/testing/relayd_test.cc
+++ b/tray/testing/relayd_test.cc
@@ -278,6 +278,30 @@
   cr_assert_lt(SteadyNow() - recovered_at, 3 * kSecond);
 }
 
+// Guards against a change that is late since all open connections to the store
+// have gone silent for good, and the host tries one after the other.
+Test(store_watcher, silent_connections_do_not_delay_a_change) {
+  watcher_fixture fx(17409);
+  fx.watcher.Start();
+  fx.RunUntil([&] { return fx.Count<host_update>() == 1; });
+  directory_store calls = platform::OpenStore(
+      &fx.http, {kHost, 17409}, [](std::string_view, store_status) {});
+  int read = 0;
+  for (int i = 0; i < 4; ++i)
+    calls.read("servers/i-1", [&](const store_read_result&) { ++read; });
+  fx.RunUntil([&] { return read == 4; });
+  int watches = fx.store.CallCount("/-/kv-watch");
+  fx.RunUntil([&] { return fx.store.CallCount("/-/kv-watch") > watches; });
+  fx.store.SilenceConnections();
+  // Hosts count as undisturbed five seconds later.
+  fx.loop.run_for(std::chrono::milliseconds(4500));
+  fx.store.Put("servers/i-1", ServerEntry("a"));
+  micros changed_at = SteadyNow();
+  fx.RunUntil([&] { return fx.Count<server_update>() == 1; });
+  cr_assert_lt(SteadyNow() - changed_at, 3 * kSecond, "%ld us",
+               SteadyNow() - changed_at);
+}
+
 // ---- Whole requests --------------------------------------------------------
 
 Test(worker, merges_the_parts_of_all_shards) {
