--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,15 +1,17 @@
 #!/usr/bin/env python3
 """Randomized fault-injection test of relaying hosts as processes on loopback.
 
-    tools/soak.py --build build --seconds 20 --seed 1
+    tools/soak.py --build build --seconds 20 --seed 1 [--hosts 6]
 
-Six hosts (five in one data centre, so that four follow a hub) run against
+Hosts (all but one in one data centre, so that most follow a hub) run against
 standin_platform, each behind its own proxy to the store. Faults occur repeatedly and
 overlap: a proxy resets, delays or drops traffic in one or both directions; hosts are
-paused, killed, stopped and restarted; the store fails or discards its history; servers
+paused, killed, stopped and restarted; the store fails, discards its history, or never
+answers again on the connections that are open; servers
 refuse, fail, do not respond, truncate, reset and respond with another request's id;
 servers say that they leave, ask for pauses and name rate limits;
-server entries and the configuration change. Callers use persistent connections.
+server entries and the configuration change, and other writers leave odd entries.
+Callers use persistent connections.
 
 Checked from the outside, by what callers and servers see:
 - A merged response is sorted, contains each shard at most once and reports the number
@@ -19,6 +21,7 @@
 - A host that receives SIGTERM completes its requests before it closes connections.
 - A host that is undisturbed, as the store is, has each version of the configuration
   APPLY_S after it was written, whatever happens to other hosts.
+- No host ends by itself.
 - After the faults, all hosts are ready within RECOVER_S, serve 99% of requests and have
   the newest configuration.
 
@@ -39,9 +42,8 @@
 
 STORE_PORT = 19000
 CONTROL_PORT = 19001
-SERVER_PORT = 19100
+SERVER_PORT = 18900
 HOST_PORT = 19010  # host i uses HOST_PORT + 10 * i and the next five ports
-HOSTS = 6
 SHARDS = 10
 MIN_PARTS = 9  # min_part_share 0.89 of ten shards
 RECORD_BYTES = 16
@@ -129,7 +131,7 @@
 
 
 class Host:
-    def __init__(self, build, folder, index):
+    def __init__(self, build, folder, index, last):
         self.index, self.port = index, HOST_PORT + 10 * index
         self.binary = os.path.join(build, "baobabtrayd")
         self.name = f"host-{index}"
@@ -141,7 +143,7 @@
         self.started_at = 0.0
         self.disturbed_at = 0.0  # last fault other than a stop
         self.faults, self.last_fault_end = 0, 0.0  # in progress; end of the last
-        centre = "dc-a" if index < HOSTS - 1 else "dc-b"
+        centre = "dc-b" if last else "dc-a"
         ports = [f"127.0.0.1:{self.port + i}" for i in range(4)]
         with open(self.settings, "w", encoding="utf-8") as f:
             f.write(f"""name: {self.name}
@@ -187,7 +189,8 @@
     def __init__(self, args, folder):
         self.args, self.folder = args, folder
         self.rng = random.Random(args.seed)
-        self.hosts = [Host(args.build, folder, i) for i in range(HOSTS)]
+        self.hosts = [Host(args.build, folder, i, i == args.hosts - 1)
+                      for i in range(args.hosts)]
         self.failures, self.injected = [], []
         self.served = self.refused = self.failed = self.unanswered = 0
         self.orders = {}  # request id -> status, None without a response
@@ -376,6 +379,22 @@
         await asyncio.sleep(self.rng.uniform(0.5, 3))
         await self.control(f"/server?id={name}&mode=normal")
 
+    async def odd_entry(self, _):
+        """Another writer leaves an odd entry, of its own or in place of a server's."""
+        own = self.rng.random() < 0.5
+        name = f"odd-{self.rng.randint(1, 3)}" if own else self.any_server()
+        kind = self.rng.choice(["deep", "port", "number", "type"])
+        await self.control(f"/odd?id={name}&kind={kind}")
+        await asyncio.sleep(self.rng.uniform(0.2, 3))
+        await self.control(f"/odd?id={name}&kind=removed" if own else
+                           f"/entry?id={name}&state=ready")
+
+    async def silence(self, _):
+        """All open connections to the store go silent for good."""
+        await self.control("/silence")
+        for host in self.hosts:
+            host.last_fault_end = time.monotonic()
+
     async def configure(self, _):
         for _ in range(self.rng.randint(1, 3)):
             self.version += 1
@@ -407,7 +426,7 @@
     async def inject_faults(self):
         kinds = [self.pause, self.kill, self.stop, self.reload, self.link_fault,
                  self.store_fault, self.server_fault, self.server_fault,
-                 self.statement, self.configure]
+                 self.statement, self.configure, self.odd_entry, self.silence]
         end = time.monotonic() + self.args.seconds
         tasks = []
         while time.monotonic() < end:
@@ -425,6 +444,10 @@
         while self.injecting:
             await asyncio.sleep(0.2)
             for host in self.hosts:
+                if not host.busy and not host.alive():
+                    self.report_failure(f"{host.name}: ended by itself, exit code "
+                                        f"{host.process.returncode}")
+                    host.start()
                 if not (host.is_undisturbed() and self.is_store_undisturbed()):
                     continue
                 due = max(v for t, v in self.written if t <= time.monotonic() - APPLY_S)
@@ -495,7 +518,8 @@
                 host.start()
             while not all([await self.is_ready(h) for h in self.hosts]):
                 await asyncio.sleep(0.1)
-            callers = [asyncio.create_task(self.caller(i)) for i in range(12)]
+            callers = [asyncio.create_task(self.caller(i))
+                       for i in range(2 * len(self.hosts))]
             versions = asyncio.create_task(self.check_versions())
             await self.inject_faults()
             await self.recover()
@@ -521,6 +545,7 @@
     parser.add_argument("--seconds", type=float, default=20,
                         help="duration of the faults")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--hosts", type=int, default=6)
     parser.add_argument("--keep", help="folder for the hosts' logs")
     args = parser.parse_args()
     with tempfile.TemporaryDirectory() as temporary:
@@ -528,7 +553,7 @@
         os.makedirs(folder, exist_ok=True)
         test = FaultTest(args, folder)
         asyncio.run(test.run())
-    print(json.dumps({"seed": args.seed, "seconds": args.seconds,
+    print(json.dumps({"seed": args.seed, "hosts": args.hosts, "seconds": args.seconds,
                       "actions": len(test.injected), "served": test.served,
                       "refused": test.refused, "failed": test.failed,
                       "cut": test.unanswered, "orders": len(test.orders),
--- a/tray/standin/platform_main.cc
+++ b/tray/standin/platform_main.cc
@@ -164,6 +164,30 @@
   return true;
 }
 
+// Writes an entry that is none, as another writer might leave it.
+bool PutOddEntry(platform* p, const test_http_request& r) {
+  constexpr size_t kDepth = 100'000;
+  constexpr std::string_view kEntry =
+      R"({{"service":"report","address":"127.0.0.1:{}","zone":"dc-a",)"
+      R"("slots":{},"state":"ready","warmup_left_ms":0}})";
+  std::string key = "servers/" + r.QueryParameter("id");
+  std::string kind = r.QueryParameter("kind");
+  if (kind == "removed") {
+    p->store.Remove(key);
+  } else if (kind == "deep") {
+    p->store.Put(key, std::string(kDepth, '['));
+  } else if (kind == "port") {
+    p->store.Put(key, fmt::format(kEntry, 99'999, 4));
+  } else if (kind == "number") {
+    p->store.Put(key, fmt::format(kEntry, 9, "1e300"));
+  } else if (kind == "type") {
+    p->store.Put(key, fmt::format(kEntry, 9, "true"));
+  } else {
+    return false;
+  }
+  return true;
+}
+
 void HandleControl(platform* p, const std::shared_ptr<test_http_connection>& c,
                    const test_http_request& r) {
   bool known = true;
@@ -174,6 +198,10 @@
     known = fault.has_value();
   } else if (r.path == "/forget") {
     p->store.CompactHistory();
+  } else if (r.path == "/silence") {
+    p->store.SilenceConnections();
+  } else if (r.path == "/odd") {
+    known = PutOddEntry(p, r);
   } else if (r.path == "/version") {
     p->store.Put("op/config", ConfigJson(p->shards, ++p->version).dump());
   } else {
--- a/tray/testing/odd_json.h
+++ b/tray/testing/odd_json.h
@@ -1,12 +1,15 @@
 // JSON documents with one odd field, for tests of decoders: deeply nested, of
 // another type, a fraction where a whole number is due, or out of range.
 //
-//   for (const std::string& odd : OddFor(field_type::kInteger))
-//     ... decode(WithField(good, "/routes/0/top_k", odd)) ... // an error
+//   cr_expect_str_eq(AcceptedOdd(good, {{"/slots", field_type::kInteger}},
+//                                [](const std::string& text) {
+//                                  return Decode(text).ok();
+//                                }).c_str(), "");
 
 #ifndef TRAY_TESTING_ODD_JSON_H_
 #define TRAY_TESTING_ODD_JSON_H_
 
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -57,6 +60,22 @@
   return text.replace(text.find(kMark), sizeof(kMark) - 1, value);
 }
 
+// Puts each odd value into each field in turn. Returns the fields and values
+// with which `accepts` returned true, or "".
+inline std::string AcceptedOdd(
+    const std::string& document, const std::vector<typed_field>& fields,
+    const std::function<bool(const std::string& text)>& accepts) {
+  constexpr size_t kShown = 40;
+  std::string accepted;
+  for (const typed_field& f : fields) {
+    for (const std::string& odd : OddFor(f.type)) {
+      if (accepts(WithField(document, f.pointer, odd)))
+        accepted += f.pointer + ": " + odd.substr(0, kShown) + "\n";
+    }
+  }
+  return accepted;
+}
+
 }  // namespace baobabtray
 
 #endif  // TRAY_TESTING_ODD_JSON_H_
