Don't let an expired request hold up those that wait behind it

Own fault of the check before the write: a request that waited for a connection and may no longer be sent took the turn of the next one, which then waited beside a free connection.

--- a/tray/http/relay_client.cc
+++ b/tray/http/relay_client.cc
@@ -450,11 +450,14 @@
     if (!p->waiting.empty()) DispatchWaiting(p);
   }
 
+  // Dispatches the first waiting request that may still be sent.
   void DispatchWaiting(pool* p) {
-    if (p->waiting.empty()) return;
-    transfer_ref t = std::move(p->waiting.front());
-    p->waiting.pop_front();
-    Dispatch(p, std::move(t));
+    while (!p->waiting.empty()) {
+      transfer_ref t = std::move(p->waiting.front());
+      p->waiting.pop_front();
+      if (MaySend(*t)) return Dispatch(p, std::move(t));
+      FailAsync(std::move(t), fetch_fault::kExpired);
+    }
   }
 
   // Closes the connection. Returns the transfer that it carried.
--- a/tray/testing/relay_client_test.cc
+++ b/tray/testing/relay_client_test.cc
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <array>
 #include <asio.hpp>
 #include <chrono>
@@ -13,8 +14,10 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "tray/base/clock.h"
 #include "tray/http/reply_reader.h"
 
 using namespace baobabtray;  // NOLINT: test file
@@ -569,6 +572,35 @@
   cr_expect_eq(w.Run("b").fault, fetch_fault::kNone, "the connection is kept");
 }
 
+// Guards against requests that wait beside a free connection, since the one
+// that was first in the queue may no longer be sent.
+Test(relay_client, expired_request_does_not_hold_up_the_queue) {
+  client_fixture w(17328);
+  w.client.SetMaxConnections({kHost, w.port}, 1);
+  w.server.script = {{.bytes = OkReply("a")}, {.bytes = OkReply("d")}};
+  std::vector<std::string> ended;
+  auto start = [&](const std::string& id, bool may_send) {
+    relay_call call = w.Call(id);
+    bool asked = false;
+    call.may_send = [may_send, asked]() mutable {
+      return may_send || !std::exchange(asked, true);
+    };
+    w.client.Start(std::move(call), [&ended, id](const fetch_result& r) {
+      ended.push_back(id + " " +
+                      std::string(NameOf(kFetchFaultNames, r.fault)));
+    });
+  };
+  start("a", true);
+  start("b", false);
+  start("c", false);
+  start("d", true);
+  micros begin = SteadyNow();
+  w.RunUntil([&] { return ended.size() == 4; });
+  cr_expect_lt(SteadyNow() - begin, 500 * kMillisecond);
+  cr_expect(std::find(ended.begin(), ended.end(), "b expired") != ended.end());
+  cr_expect(std::find(ended.begin(), ended.end(), "d none") != ended.end());
+}
+
 Test(relay_client, reply_to_head_has_no_body) {
   client_fixture w(17324);
   w.server.script = {
--- a/tray/testing/text_test.cc
+++ b/tray/testing/text_test.cc
@@ -95,6 +95,56 @@
   ExpectError("  - [not, a, map]\n", "must be a map");
 }
 
+// Each field of another type, a fraction or out of range is an error.
+Test(text, odd_fields_are_errors) {
+  const std::string good =
+      "regions: [r]\n"
+      "data_centres: [{name: d, region: r}]\n"
+      "customers: [{name: c, weight: 3}]\n"
+      "services:\n"
+      "  - name: s\n    customer: c\n    shards: 2\n    slots: 2\n"
+      "    connections: 25\n    connect_ms: 6\n    cold_limit: 1\n"
+      "    policy: {deadline_ms: 110, priority: urgent, idempotent: true, "
+      "hedge_budget: 0.1, soft_deadline_ms: 50, min_coverage: 0.5}\n"
+      "    backend_servers: [{name: b, data_centre: d, "
+      "address: '1.2.3.4:5'}]\n";
+  cr_assert(ParseTopology(good).ok());
+  const std::string deep = std::string(20'000, '[') + std::string(20'000, ']');
+  const std::vector<std::string> odd_numbers = {
+      "{a: b}", deep,    "[]",
+      "-1",     "1e300", ".nan",
+      "true",   "1e999", "99999999999999999999"};
+  const char* numbers[] = {
+      "weight: 3",        "shards: 2",         "slots: 2",
+      "connections: 25",  "connect_ms: 6",     "cold_limit: 1",
+      "deadline_ms: 110", "hedge_budget: 0.1", "soft_deadline_ms: 50",
+      "min_coverage: 0.5"};
+  const char* words[] = {"region: r",        "customer: c",
+                         "priority: urgent", "idempotent: true",
+                         "data_centre: d",   "address: '1.2.3.4:5'",
+                         "regions: [r]",     "name: b"};
+  auto with = [&](const std::string& field, const std::string& value) {
+    std::string text = good;
+    std::string key = field.substr(0, field.find(':') + 2);
+    return text.replace(text.find(field), field.size(), key + value);
+  };
+  for (const char* field : numbers) {
+    for (const std::string& odd : odd_numbers) {
+      cr_expect_not(ParseTopology(with(field, odd)).ok(), "%s: %.40s", field,
+                    odd.c_str());
+    }
+    bool whole = std::string(field).find('.') == std::string::npos;
+    if (whole)
+      cr_expect_not(ParseTopology(with(field, "1.5")).ok(), "%s", field);
+  }
+  for (const char* field : words) {
+    for (const std::string& odd : {std::string("{a: {b: c}}"), deep}) {
+      cr_expect_not(ParseTopology(with(field, odd)).ok(), "%s: %.40s", field,
+                    odd.c_str());
+    }
+  }
+}
+
 Test(text, reports_all_errors_with_their_lines) {
   std::string errors =
       ErrorsOf("  - {name: 'A!'}\n  - {name: b, depends_on: [x]}\n");
