Tests: keep the strings that are compared alive

Criterion's str_eq macros hold pointers to their arguments beyond the statement in which a temporary lives, so that four tests of server_notice_test, and the new ones of odd fields, compared freed memory: AddressSanitizer, stack-use-after-scope. The comparison of strings themselves is as strict.

--- a/tray/testing/change_feed_test.cc
+++ b/tray/testing/change_feed_test.cc
@@ -253,7 +253,7 @@
   auto accepts = [](const std::string& text) {
     return DecodeChanges(text).ok();
   };
-  cr_expect_str_eq(AcceptedOdd(good, fields, accepts).c_str(), "");
+  cr_expect_eq(AcceptedOdd(good, fields, accepts), "");
   for (const char* field : {"/revision", "/items/0/revision"}) {
     for (const char* odd : {"-1", "18446744073709551615"}) {
       cr_expect_not(DecodeChanges(WithField(good, field, odd)).ok());
--- a/tray/testing/config_test.cc
+++ b/tray/testing/config_test.cc
@@ -261,7 +261,7 @@
       {"/recent/0/at_ms", field_type::kInteger},
   };
   auto accepts = [](const std::string& text) { return ParseConfig(text).ok(); };
-  cr_expect_str_eq(AcceptedOdd(good, fields, accepts).c_str(), "");
+  cr_expect_eq(AcceptedOdd(good, fields, accepts), "");
   const std::string claim = DumpClaim({.token = "t", .host = "h"});
   cr_assert(ParseClaim(claim).ok());
   const std::vector<typed_field> claim_fields = {
@@ -273,7 +273,7 @@
   auto accepts_claim = [](const std::string& text) {
     return ParseClaim(text).ok();
   };
-  cr_expect_str_eq(AcceptedOdd(claim, claim_fields, accepts_claim).c_str(), "");
+  cr_expect_eq(AcceptedOdd(claim, claim_fields, accepts_claim), "");
 }
 
 Test(claim, released_claim_can_be_claimed_again) {
--- a/tray/testing/odd_json.h
+++ b/tray/testing/odd_json.h
@@ -1,15 +1,17 @@
 // JSON documents with one odd field, for tests of decoders: deeply nested, of
 // another type, a fraction where a whole number is due, or out of range.
 //
-//   cr_expect_str_eq(AcceptedOdd(good, {{"/slots", field_type::kInteger}},
-//                                [](const std::string& text) {
-//                                  return Decode(text).ok();
-//                                }).c_str(), "");
+//   cr_expect_eq(AcceptedOdd(good, {{"/slots", field_type::kInteger}},
+//                            [](const std::string& text) {
+//                              return Decode(text).ok();
+//                            }),
+//                "");
 
 #ifndef TRAY_TESTING_ODD_JSON_H_
 #define TRAY_TESTING_ODD_JSON_H_
 
 #include <functional>
+#include <iostream>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -61,7 +63,7 @@
 }
 
 // Puts each odd value into each field in turn. Returns the fields and values
-// with which `accepts` returned true, or "".
+// with which `accepts` returned true, or "". Prints them too.
 inline std::string AcceptedOdd(
     const std::string& document, const std::vector<typed_field>& fields,
     const std::function<bool(const std::string& text)>& accepts) {
@@ -73,6 +75,7 @@
         accepted += f.pointer + ": " + odd.substr(0, kShown) + "\n";
     }
   }
+  if (!accepted.empty()) std::cerr << accepted;
   return accepted;
 }
 
--- a/tray/testing/platform_test.cc
+++ b/tray/testing/platform_test.cc
@@ -218,7 +218,7 @@
     store_update update = DecodeItem({.key = "servers/i-1", .value = text});
     return !std::holds_alternative<ignored_item>(update);
   };
-  cr_expect_str_eq(AcceptedOdd(kServer, fields, accepts).c_str(), "");
+  cr_expect_eq(AcceptedOdd(kServer, fields, accepts), "");
   for (const char* slots : {"0", "-1", "4294967297", "1e12"}) {
     cr_expect_not(DecodeServer("i", WithField(kServer, "/slots", slots)).ok());
   }
@@ -268,7 +268,7 @@
   auto accepts = [](const std::string& text) {
     return DecodeConfig(text).ok();
   };
-  cr_expect_str_eq(AcceptedOdd(kConfig, fields, accepts).c_str(), "");
+  cr_expect_eq(AcceptedOdd(kConfig, fields, accepts), "");
   const typed_field kNegative[] = {
       {"/routes/0/timeout_ms"},     {"/routes/0/target_latency_ms"},
       {"/routes/0/max_attempts"},   {"/routes/0/top_k"},
--- a/tray/testing/server_notice_test.cc
+++ b/tray/testing/server_notice_test.cc
@@ -53,14 +53,14 @@
   server_reply leaving = Served();
   leaving.leaving = true;
   micros said_at = h.now;
-  cr_assert_str_eq(Ask(&h, leaving).c_str(), "s-a");
+  cr_assert_eq(Ask(&h, leaving), "s-a");
   // Neither an entry that says ready nor an answer without the header takes it
   // back.
   registered_server entry = MakeServer("s-a", "s", "a");
   entry.sequence = 9;
   UpsertServer(&h.state.pool, entry, h.now + kSecond);
   h.now += kSecond;
-  cr_assert_str_eq(Ask(&h, Served()).c_str(), "s-a", "it still serves");
+  cr_assert_eq(Ask(&h, Served()), "s-a", "it still serves");
   h.now = said_at + h.state.pool.drain_period;
   relay_request req = h.NewRequest();
   relay_actions actions = Start(&h, &req);
@@ -74,7 +74,7 @@
   // A new server at its address, or under its name, is not barred.
   entry.started_ms = 2;
   UpsertServer(&h.state.pool, entry, h.now);
-  cr_assert_str_eq(Ask(&h, Served()).c_str(), "s-a");
+  cr_assert_eq(Ask(&h, Served()), "s-a");
 }
 
 Test(server_notice, other_servers_are_preferred_to_one_that_says_it_leaves) {
@@ -83,7 +83,7 @@
   h.AddRoute({"s"});
   server_reply leaving = Served();
   leaving.leaving = true;
-  cr_assert_str_eq(Ask(&h, leaving).c_str(), "s-a");
+  cr_assert_eq(Ask(&h, leaving), "s-a");
   for (int i = 0; i < 20; ++i)
     cr_assert_str_neq(Ask(&h, Served()).c_str(), "s-a");
   relay_request req = h.NewRequest();
@@ -100,7 +100,7 @@
   h.AddRoute({"s"});
   KeepOnly(&h, "s-a");
   micros paused_at = h.now;
-  cr_assert_str_eq(Ask(&h, Refused(2 * kSecond)).c_str(), "s-a");
+  cr_assert_eq(Ask(&h, Refused(2 * kSecond)), "s-a");
   int sent = 0;
   micros resumed_at = 0;
   for (; h.now < paused_at + 3 * kSecond; h.now += 10 * kMillisecond) {
@@ -159,7 +159,7 @@
   server_reply reply = Ended(relay_attempt_outcome::kMisplaced);
   reply.leaving = true;
   reply.pause = kSecond;
-  cr_assert_str_eq(Ask(&h, reply).c_str(), "s-a");
+  cr_assert_eq(Ask(&h, reply), "s-a");
   cr_assert_eq(h.Server("s-a")->notice.leaving_since, 0);
   cr_assert_not(IsPaused(h.Server("s-a")->notice, h.now));
 }
--- a/tray/testing/wire_test.cc
+++ b/tray/testing/wire_test.cc
@@ -139,8 +139,8 @@
   auto accepts = [](const std::string& text) {
     return ParseHealthReport(text).ok();
   };
-  cr_expect_str_eq(AcceptedOdd(good, fields, accepts).c_str(), "");
-  cr_expect_str_eq(NegativeAccepted(good, fields, accepts).c_str(), "");
+  cr_expect_eq(AcceptedOdd(good, fields, accepts), "");
+  cr_expect_eq(NegativeAccepted(good, fields, accepts), "");
 }
 
 Test(backend_wire, odd_numbers_in_headers_are_ignored) {
@@ -199,8 +199,8 @@
       {"/evidence/0/v/0/2/0", field_type::kInteger},
   };
   auto accepts = [](const std::string& text) { return ParseDigest(text).ok(); };
-  cr_expect_str_eq(AcceptedOdd(good, fields, accepts).c_str(), "");
-  cr_expect_str_eq(NegativeAccepted(good, fields, accepts).c_str(), "");
+  cr_expect_eq(AcceptedOdd(good, fields, accepts), "");
+  cr_expect_eq(NegativeAccepted(good, fields, accepts), "");
   // A member with the highest incarnation could not be contradicted any more.
   cr_expect_not(
       ParseDigest(WithField(good, "/from/i", "18446744073709551615")).ok());
@@ -230,7 +230,7 @@
       {"/delta", field_type::kArray},    {"/delta/0", field_type::kString},
       {"/delta/1", field_type::kString}, {"/delta/4", field_type::kString},
   };
-  cr_expect_str_eq(AcceptedOdd(good, fields, apply).c_str(), "");
+  cr_expect_eq(AcceptedOdd(good, fields, apply), "");
 }
 
 // Guards against one odd entry in the list of hosts, or one odd answer, that
@@ -246,7 +246,7 @@
   auto accepts = [](const std::string& text) {
     return DecodeHostList(text).size() > 1;
   };
-  cr_expect_str_eq(AcceptedOdd(good, fields, accepts).c_str(), "");
+  cr_expect_eq(AcceptedOdd(good, fields, accepts), "");
   for (const std::string& odd : {std::string("{}"), std::string("[7,null,[]]"),
                                  DeepJson(), std::string()})
     cr_expect(DecodeHostList(odd).empty());
