Don't try one silent connection to the store after the other

Cause, from its log: the pending watch and the question after it each went unanswered for their whole time limit, the second one on a connection that had been idle and was silent as well. Ruled out: a late retry (0.1 s), a store that did not answer (the third question was answered at once).

Connections in use are not touched.

Measured: fetch/unanswered_request_is_followed_by_one_on_a_new_connection failed before, passes. New connections: one for each call within two seconds after an unanswered one.

--- a/tray/http/fetch.cc
+++ b/tray/http/fetch.cc
@@ -132,6 +132,7 @@
     int max_connections = kDefaultConnections;
     long max_idle_seconds = kMaxIdleSeconds;  // lowered by Keep-Alive headers
     micros timer_at = 0;                      // 0: not set
+    micros unanswered_at = 0;  // end of the last request without any answer
   };
 
   struct transfer {
@@ -221,6 +222,7 @@
       curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, kTcpKeepaliveSeconds);
       curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, kTcpKeepaliveSeconds);
     }
+    if (r.avoid_silent) AvoidSilentConnections(t);
     if (r.new_connection) {
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
@@ -257,6 +259,19 @@
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, t->headers);
   }
 
+  // See fetch_request::avoid_silent.
+  static void AvoidSilentConnections(transfer* t) {
+    const pool& p = *t->owning_pool;
+    if (p.unanswered_at == 0) return;
+    // libcurl compares ages in whole seconds.
+    long max_idle = (SteadyNow() - p.unanswered_at) / kSecond - 1;
+    if (max_idle < 1) {
+      curl_easy_setopt(t->easy, CURLOPT_FRESH_CONNECT, 1L);
+    } else if (max_idle < p.max_idle_seconds) {
+      curl_easy_setopt(t->easy, CURLOPT_MAXAGE_CONN, max_idle);
+    }
+  }
+
   // Removes a transfer from libcurl. Closes its connection if it is unfinished.
   void ReleaseHandle(transfer* t) {
     curl_multi_remove_handle(t->owning_pool->multi, t->easy);
@@ -415,6 +430,8 @@
       std::unique_ptr<transfer> t = std::move(found->second);
       transfers_.erase(found);
       SetFault(t.get(), code);
+      if (t->result.fault == fetch_fault::kTimedOut && t->head_bytes == 0)
+        p->unanswered_at = SteadyNow();
       ReleaseHandle(t.get());
       t->done(std::move(t->result));
     }
--- a/tray/http/fetch.h
+++ b/tray/http/fetch.h
@@ -56,6 +56,10 @@
   bool new_connection = false;  // not reused; never resent
   std::string attempt_id;       // if set: sent, and the reply must echo it
   bool tcp_keepalive = false;   // probes to detect a dead connection
+  // Connections that have been idle since before another request to the origin
+  // went unanswered are not used: a network that dropped one connection's state
+  // may have dropped those of all.
+  bool avoid_silent = false;
 };
 
 enum class fetch_fault {
--- a/tray/relayd/change_feed.cc
+++ b/tray/relayd/change_feed.cc
@@ -110,7 +110,8 @@
        .path = fmt::format("/changes?after={}&wait_ms={}&large={}", poll.after,
                            poll.wait / kMillisecond, poll.send_large ? 1 : 0),
        .timeout = poll.limit,
-       .connect_timeout = std::min(poll.limit, kConnectLimit)},
+       .connect_timeout = std::min(poll.limit, kConnectLimit),
+       .avoid_silent = true},
       [done = std::move(done)](const fetch_result& r) {
         if (r.fault != fetch_fault::kNone) {
           return done(absl::UnavailableError(
--- a/tray/testing/http_test.cc
+++ b/tray/testing/http_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "tray/base/clock.h"
 #include "tray/http/fetch.h"
 #include "tray/http/serve.h"
 #include "tray/standin/test_http_server.h"
@@ -383,6 +384,58 @@
   cr_assert(!server.ok());
 }
 
+// Guards against requests that try one silent connection after the other, each
+// for its whole time limit.
+Test(fetch, unanswered_request_is_followed_by_one_on_a_new_connection) {
+  asio::io_context loop(1);
+  std::vector<std::shared_ptr<test_http_connection>> open;
+  test_http_server server(
+      loop, kHost, 17135,
+      [&](std::shared_ptr<test_http_connection> c, const test_http_request&) {
+        if (open.size() < 4) open.push_back(c);
+        if (open.size() == 4) {
+          for (auto& each : open) each->Reply(200, {}, "{}");
+          open.clear();
+        }
+      });
+  server.Listen();
+  fetcher http(loop);
+  auto request = [] {
+    fetch_request r = RequestTo(17135);
+    r.avoid_silent = true;
+    return r;
+  };
+  int answered = 0;
+  for (int i = 0; i < 4; ++i)
+    http.Start(request(), [&](const fetch_result&) { ++answered; });
+  RunUntil(loop, [&] { return answered == 4; });
+  cr_assert_eq(http.connections_opened(), 4u);
+  for (const auto& c : server.connections()) c->StopResponding();
+  fetch_request unanswered = request();
+  unanswered.timeout = 200 * kMillisecond;
+  cr_assert_eq(Fetch(loop, http, unanswered).fault, fetch_fault::kTimedOut);
+  // The others that are idle are silent too.
+  answered = 0;
+  micros begin = SteadyNow();
+  for (int i = 0; i < 4; ++i) {
+    http.Start(request(), [&](const fetch_result& r) {
+      answered += r.fault == fetch_fault::kNone;
+    });
+  }
+  RunUntil(loop, [&] { return answered == 4; });
+  cr_expect_lt(SteadyNow() - begin, kSecond);
+  cr_expect_eq(http.connections_opened(), 8u);
+  // Connections that have been in use since are kept.
+  for (int i = 0; i < 12; ++i) {
+    cr_assert_eq(Fetch(loop, http, request()).fault, fetch_fault::kNone);
+    loop.run_for(std::chrono::milliseconds(300));
+  }
+  uint64_t opened = http.connections_opened();
+  for (int i = 0; i < 3; ++i)
+    cr_assert_eq(Fetch(loop, http, request()).fault, fetch_fault::kNone);
+  cr_expect_eq(http.connections_opened(), opened);
+}
+
 // The next connection reuses the descriptor of a connection attempt that failed
 // or timed out. fetcher must not miss its events because of stale
 // registrations.
