--- a/tray/testing/http_test.cc
+++ b/tray/testing/http_test.cc
@@ -388,15 +388,17 @@
 // for its whole time limit.
 Test(fetch, unanswered_request_is_followed_by_one_on_a_new_connection) {
   asio::io_context loop(1);
-  std::vector<std::shared_ptr<test_http_connection>> open;
+  // Answers the first four requests together, so that each has a connection.
+  std::vector<std::shared_ptr<test_http_connection>> held;
+  bool holds = true;
   test_http_server server(
       loop, kHost, 17135,
       [&](std::shared_ptr<test_http_connection> c, const test_http_request&) {
-        if (open.size() < 4) open.push_back(c);
-        if (open.size() == 4) {
-          for (auto& each : open) each->Reply(200, {}, "{}");
-          open.clear();
-        }
+        held.push_back(c);
+        if (holds && held.size() < 4) return;
+        holds = false;
+        for (auto& each : held) each->Reply(200, {}, "{}");
+        held.clear();
       });
   server.Listen();
   fetcher http(loop);
