--- a/tray/testing/server_notice_test.cc
+++ b/tray/testing/server_notice_test.cc
@@ -70,7 +70,7 @@
   // The store drops and adds the entry: the same server.
   RemoveServer(&h.state.pool, "s-a", h.now);
   UpsertServer(&h.state.pool, entry, h.now);
-  cr_assert_str_empty(Ask(&h, Served()).c_str());
+  cr_assert(Ask(&h, Served()).empty());
   // A new server at its address, or under its name, is not barred.
   entry.started_ms = 2;
   UpsertServer(&h.state.pool, entry, h.now);
@@ -85,7 +85,7 @@
   leaving.leaving = true;
   cr_assert_eq(Ask(&h, leaving), "s-a");
   for (int i = 0; i < 20; ++i)
-    cr_assert_str_neq(Ask(&h, Served()).c_str(), "s-a");
+    cr_assert_neq(Ask(&h, Served()), "s-a");
   relay_request req = h.NewRequest();
   relay_actions actions = Start(&h, &req);
   actions = RunTimer(&h, &req);  // a hedge
