--- a/tray/testing/server_notice_test.cc
+++ b/tray/testing/server_notice_test.cc
@@ -84,8 +84,7 @@
   server_reply leaving = Served();
   leaving.leaving = true;
   cr_assert_eq(Ask(&h, leaving), "s-a");
-  for (int i = 0; i < 20; ++i)
-    cr_assert_neq(Ask(&h, Served()), "s-a");
+  for (int i = 0; i < 20; ++i) cr_assert_neq(Ask(&h, Served()), "s-a");
   relay_request req = h.NewRequest();
   relay_actions actions = Start(&h, &req);
   actions = RunTimer(&h, &req);  // a hedge
