Soak: as many callers as servers have room for, whatever the number of hosts

Cause, from the hosts' logs: callers grew with the hosts, to 80, and the stand-in's servers refused: of the last 400 refusals 332 after a server's own refusal, 59 since servers were overloaded, 9 by a limit. The check is unchanged; with six hosts there are 12 callers as before.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -44,6 +44,7 @@
 CONTROL_PORT = 19001
 SERVER_PORT = 18900
 HOST_PORT = 19010  # host i uses HOST_PORT + 10 * i and the next five ports
+CALLERS = 12  # as many as the stand-in's servers have room for
 SHARDS = 10
 MIN_PARTS = 9  # min_part_share 0.89 of ten shards
 RECORD_BYTES = 16
@@ -519,7 +520,7 @@
             while not all([await self.is_ready(h) for h in self.hosts]):
                 await asyncio.sleep(0.1)
             callers = [asyncio.create_task(self.caller(i))
-                       for i in range(2 * len(self.hosts))]
+                       for i in range(CALLERS)]
             versions = asyncio.create_task(self.check_versions())
             await self.inject_faults()
             await self.recover()
