--- a/review/standin-2/lab.py
+++ b/review/standin-2/lab.py
@@ -72,13 +72,30 @@
         self.items, self.revision, self.history = {}, 1, []
         self.leases, self.last_lease = {}, 0
         self.changed = asyncio.Event()
-        self.port = None
+        self.era, self.copy = 1, None
+        self.turned_away = set()  # ports whose calls get a connection reset
+        self.servers = []
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
         self.sweeper = asyncio.ensure_future(self.sweep())
 
+    async def listen(self):
+        """Opens a port of its own for one machine, so that this one can be turned away."""
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.servers.append(server)
+        return server.sockets[0].getsockname()[1]
+
+    def save_copy(self):
+        self.copy = (dict(self.items), self.revision, dict(self.leases))
+
+    def go_back(self):
+        """Comes back from the copy: what was written since is gone, leases too."""
+        self.items, self.revision, self.leases = (dict(self.copy[0]), self.copy[1],
+                                                  dict(self.copy[2]))
+        self.history = [e for e in self.history if e["revision"] <= self.revision]
+        self.era += 1
+        self.wake()
+
     def put(self, key, value, lease=0):
         self.revision += 1
         created = self.items[key]["created"] if key in self.items else self.revision
@@ -111,18 +128,24 @@
             self.remove(key)
 
     async def serve(self, reader, writer):
+        port = writer.get_extra_info("sockname")[1]
         try:
             while (head := await read_head(reader)) is not None:
                 line, headers = head
                 method, target, _ = line.split(" ")
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
-                status, answer = await self.answer(method, target, body)
+                if port not in self.turned_away:
+                    status, answer = await self.answer(method, target, body)
+                if port in self.turned_away:
+                    return writer.transport.abort()
                 writer.write(response(status, [("Content-Type", "application/json"),
-                                               ("Store-Era", "1")],
+                                               ("Store-Era", str(self.era))],
                                       json.dumps(answer).encode()))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass  # the host has closed the connection
+        except asyncio.CancelledError:
+            pass  # the script ends
         finally:
             writer.close()
 
@@ -142,7 +165,10 @@
             return 200, dict(item, current_rev=self.revision)
         if path == "/-/kv-watch":
             after, end = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
+            era = self.era
             while True:
+                if after > self.revision or era != self.era:
+                    return 410, {}
                 events = [e for e in self.history if e["revision"] > after
                           and e["key"].startswith(query.get("prefix", ""))]
                 left = end - time.monotonic()
@@ -266,7 +292,7 @@
         self.callers, self.peers, self.admin, self.ready = free_ports(4)
         self.settings = os.path.join(lab.folder, f"{name}.yaml")
         self.log = os.path.join(lab.folder, f"{name}.log")
-        self.process = None
+        self.process, self.store_port = None, None
         places = "".join(f"\n    - {{ data_centre: \"{z}\", region: \"{r}\" }}"
                          for z, r in lab.zones.items())
         with open(self.settings, "w", encoding="utf-8") as f:
@@ -276,7 +302,7 @@
 callers: "127.0.0.1:{self.callers}"
 peers: "127.0.0.1:{self.peers}"
 admin: "127.0.0.1:{self.admin}"
-store: "127.0.0.1:{lab.store.port}"
+store: "127.0.0.1:{{STORE}}"
 interface: platform
 memory_mb: {memory_mb}
 max_fds: 4100
@@ -292,6 +318,12 @@
 {extra}""")
 
     async def start(self):
+        if self.store_port is None:
+            self.store_port = await self.lab.store.listen()
+            with open(self.settings, encoding="utf-8") as f:
+                text = f.read().replace("{STORE}", str(self.store_port))
+            with open(self.settings, "w", encoding="utf-8") as f:
+                f.write(text)
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 DAEMON, "--settings", self.settings, stdout=log, stderr=log, cwd=ROOT)
