--- a/review/standin-2/lab.py
+++ b/review/standin-2/lab.py
@@ -21,6 +21,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 DAEMON = os.path.join(ROOT, "target", "baobabtrayd")
 HEARTBEAT_S = 1.2
+HISTORY_S = 20
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -70,6 +71,7 @@
 
     def __init__(self):
         self.items, self.revision, self.history = {}, 1, []
+        self.written_at, self.forgotten = [], 1  # history up to this revision is discarded
         self.leases, self.last_lease = {}, 0
         self.changed = asyncio.Event()
         self.era, self.copy = 1, None
@@ -93,6 +95,7 @@
         self.items, self.revision, self.leases = (dict(self.copy[0]), self.copy[1],
                                                   dict(self.copy[2]))
         self.history = [e for e in self.history if e["revision"] <= self.revision]
+        self.written_at = [w for w in self.written_at if w[1] <= self.revision]
         self.era += 1
         self.wake()
 
@@ -102,6 +105,7 @@
         self.items[key] = {"key": key, "value": base64.b64encode(value.encode()).decode(),
                            "revision": self.revision, "created": created, "lease": lease}
         self.history.append(dict(self.items[key]))
+        self.written_at.append((time.monotonic(), self.revision))
         self.wake()
 
     def remove(self, key):
@@ -118,6 +122,9 @@
     async def sweep(self):
         while True:
             await asyncio.sleep(0.05)
+            while self.written_at and time.monotonic() - self.written_at[0][0] > HISTORY_S:
+                self.forgotten = self.written_at.pop(0)[1]
+            self.history = [e for e in self.history if e["revision"] > self.forgotten]
             for lease, (ttl, until) in list(self.leases.items()):
                 if time.monotonic() > until:
                     self.end_lease(lease)
@@ -167,7 +174,7 @@
             after, end = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
             era = self.era
             while True:
-                if after > self.revision or era != self.era:
+                if after > self.revision or after < self.forgotten or era != self.era:
                     return 410, {}
                 events = [e for e in self.history if e["revision"] > after
                           and e["key"].startswith(query.get("prefix", ""))]
@@ -234,13 +241,15 @@
         self.beat_task = asyncio.ensure_future(self.beat())
 
     async def beat(self):
+        key = f"servers/{self.id}"
         while True:
             self.sequence += 1
-            self.store.put(f"servers/{self.id}", json.dumps({
-                "service": self.service, "address": f"127.0.0.1:{self.port}",
-                "zone": self.zone, "version": "v1", "slots": self.slot_count,
-                "state": "ready", "warmup_left_ms": 0, "sequence": self.sequence,
-                "born": self.born}))
+            if key not in self.store.items:  # an entry changes when more than this does
+                self.store.put(key, json.dumps({
+                    "service": self.service, "address": f"127.0.0.1:{self.port}",
+                    "zone": self.zone, "version": "v1", "slots": self.slot_count,
+                    "state": "ready", "warmup_left_ms": 0, "sequence": self.sequence,
+                    "born": self.born}))
             await asyncio.sleep(HEARTBEAT_S)
 
     async def serve(self, reader, writer):
@@ -285,9 +294,10 @@
 
 
 class Host:
-    """One process of the project's daemon."""
+    """One process of the project's daemon. `apply_ms`: the site's config_apply_ms and drain_ms,
+    which are the same on the small sites and on hearthtable-menus-grown."""
 
-    def __init__(self, lab, name, zone, memory_mb=260, extra=""):
+    def __init__(self, lab, name, zone, memory_mb=260, apply_ms=3000, extra=""):
         self.lab, self.name, self.zone = lab, name, zone
         self.callers, self.peers, self.admin, self.ready = free_ports(4)
         self.settings = os.path.join(lab.folder, f"{name}.yaml")
@@ -312,8 +322,8 @@
   extra_ratio: 0.2
   extra_floor: 52
   extra_window_s: 10
-  apply_s: 3000e-3
-  leave_s: 3000e-3
+  apply_s: {apply_ms}e-3
+  leave_s: {apply_ms}e-3
   grace_s: 6
 {extra}""")
 
@@ -404,12 +414,12 @@
             self.writer.close()
 
 
-async def ask(port, path, timeout=5, **more):
+async def ask(port, path, timeout=5, request_id="probe", **more):
     """One request on a new connection."""
     client = Client(port)
     await asyncio.wait_for(client.connect(), timeout)
     try:
-        client.send("probe", path, **more)
+        client.send(request_id, path, **more)
         return await asyncio.wait_for(client.receive(), timeout)
     finally:
         client.close()
