Review scripts: a fault of a script ends with 2, and a stop ends its processes

Cause: an exception that the scripts did not expect would have ended them with 1, which says that the rule was broken; a script that was itself stopped left its host running. Change: review/standin-2/lab.py.

--- a/review/standin-2/lab.py
+++ b/review/standin-2/lab.py
@@ -480,6 +480,8 @@
     if it held, 2 if the case couldn't run."""
     async def run():
         lab = Lab(os.path.dirname(os.path.abspath(sys.argv[0])), zones)
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         try:
             if not os.path.exists(DAEMON):
                 raise CannotRun("target/baobabtrayd is missing: run the deploy file's build")
@@ -488,7 +490,7 @@
             broken = await asyncio.wait_for(case(lab), limit_s)
             lab.say("RULE BROKEN" if broken else "rule held")
             return 1 if broken else 0
-        except (CannotRun, asyncio.TimeoutError, OSError, EOFError) as e:
+        except (Exception, asyncio.CancelledError) as e:  # a fault of the script is no broken rule
             lab.say(f"could not run: {type(e).__name__} {e}")
             return 2
         finally:
